--- a/src/net/host_pool.cpp
+++ b/src/net/host_pool.cpp
@@ -138,8 +138,9 @@
   void end(Outcome outcome, bool keep = false) {
     const auto self = shared_from_this();
     AttemptEnd done{key, host, outcome, Clock::now() - sentAt, {}};
+    // Danger: a read that is given up may have its bytes already and still put them to the parser, so that
+    // stays until the connection is used again or goes.
     if (outcome == Outcome::served) done.answer = parser->release();
-    parser.reset();
     pool->busy_.erase(key);
     if (keep) rest();
     else close();
@@ -150,6 +151,7 @@
     phase = Phase::idle;
     ++turn;
     timer.cancel();
+    parser.reset();
     request = {};
     idleSince = Clock::now();
     pool->hostOf(host).idle.push_back(shared_from_this());
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -271,6 +271,22 @@
   for (int i = 0; i < 3; ++i) EXPECT_EQ(ask(text("read")).body(), "mine");
 }
 
+TEST_F(GatewayTest, AnAnswerThatCrossesItsCancelEndsNothingElse) {
+  std::shared_ptr<PeerConnection> held;
+  addHost("a", [&](PeerConnection& c, std::size_t n) {
+    if (n == 1) held = c.shared_from_this();
+    else c.reply(answerText(200, "", "mine"));
+  });
+  start();
+  EXPECT_EQ(ask(text("read")).body(), "mine");  // on a used connection the read ends behind the idle watch
+  auto c = client();
+  c->send(text("read"));
+  ASSERT_TRUE(until([&] { return held != nullptr; }));
+  held->reply(answerText(200, "", "late"));
+  c->close();  // both are there before the gateway looks
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(ask(text("read")).body(), "mine");
+}
+
 // --- Keyed requests -------------------------------------------------------------------------------------
 
 TEST_F(GatewayTest, KeyedThatMayHaveRunStaysInItsZone) {
