--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -65,15 +65,15 @@
 
 ochrehill::Settings readSettings(const json& settings) {
   ochrehill::Settings s;
-  std::string registryMode, weights;
+  std::string weights;
   read(settings, "groupSize", s.groupSize);
   read(settings, "myNumber", s.number);
   read(settings, "zone", s.zone);
   read(settings, "overShareWorth", s.overShareWorth);
-  read(settings, "registryMode", registryMode);
   read(settings, "weights", weights);
   read(settings, "stepNs", s.step);
-  s.askDiscovery = registryMode == "ask";
+  // On sockets the list comes by a watch only, also where the simulator pushes it to the instances.
+  s.askDiscovery = true;
   s.liveWeights = weights == "live";
   read(part(settings, "domain"), "warmKeys", s.warmKeys);
   const json& ceilings = part(settings, "ceilings");
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -502,5 +502,15 @@
   EXPECT_FALSE(taken->answers[0].keep_alive());
 }
 
+TEST_F(GatewayTest, DiscoveryIsWatchedWhateverTheSimulatorsMode) {
+  config["settings"]["registryMode"] = "push";
+  twoHosts(always(answerText(200, "", "ok")));
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  discovery.push({{"all", false}, {"targets", {target("s-0", hosts[0]->endpoint, "a", "DRAINING")}}});
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
+  EXPECT_TRUE(hosts[0]->requests.empty());
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
