Survive SIGHUP and move the watch to the discovery that the file names

Nothing handled it, so it ended the gateway. Now the file is read again and the watch begins at the new address at once, on the version held. GW_DISCOVERY still names the old address then, so the file goes before it. A file that is no good is logged and the gateway serves on.

The program's test dies of SIGHUP without the change.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,8 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <string>
+#include <string_view>
 
 #include "net/config.hpp"
 #include "net/gateway.hpp"
@@ -13,10 +15,36 @@
 
 constexpr int kFailed = 1, kBadConfig = 2;
 
+const char* variable(const char* name) { return std::getenv(name); }
+
+// Once running, the file goes before the variable: that still names where discovery was at the start.
+const char* reloadedVariable(const char* name) {
+  return std::string_view(name) == "GW_DISCOVERY" ? nullptr : variable(name);
+}
+
+// Danger: a file that is no good must not end a gateway that serves; it goes on with what it has.
+void reload(cairnjunction::Gateway& gateway) {
+  try {
+    gateway.moveDiscovery(cairnjunction::readConfig(reloadedVariable).discovery);
+    std::cerr << "configuration reloaded\n";
+  } catch (const cairnjunction::BadConfig& bad) {
+    std::cerr << "configuration not reloaded: " << bad.what() << '\n';
+  }
+}
+
+void reloadAtEach(boost::asio::signal_set& hangups, cairnjunction::Gateway& gateway) {
+  hangups.async_wait([&](boost::system::error_code ec, int) {
+    if (ec) return;
+    reload(gateway);
+    reloadAtEach(hangups, gateway);
+  });
+}
+
 int serve(const cairnjunction::Config& config) {
   boost::asio::io_context io(1);
+  boost::asio::signal_set hangups(io, SIGHUP), stops(io, SIGTERM, SIGINT);
   cairnjunction::Gateway gateway(io, config, {}, [](const std::string& line) { std::cerr << line << '\n'; });
-  boost::asio::signal_set stops(io, SIGTERM, SIGINT);
+  reloadAtEach(hangups, gateway);
   stops.async_wait([&](boost::system::error_code ec, int) {
     if (!ec) gateway.drain([&] { io.stop(); });
   });
@@ -29,7 +57,7 @@
 int main() {
   std::signal(SIGPIPE, SIG_IGN);  // a peer that left shows as an error of the write
   try {
-    return serve(cairnjunction::readConfig([](const char* name) { return std::getenv(name); }));
+    return serve(cairnjunction::readConfig(variable));
   } catch (const cairnjunction::BadConfig& bad) {
     std::cerr << "cairnjunction: " << bad.what() << '\n';
     return kBadConfig;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -103,6 +103,11 @@
   call(version_ ? Kind::first : Kind::list);
 }
 
+void Discovery::moveTo(tcp::endpoint server) {
+  server_ = std::move(server);
+  watch();
+}
+
 // The first call of a watch does not wait, so that the module hears at once that it is on; the next ones,
 // each sent as soon as the last is answered, do.
 void Discovery::call(Kind kind) {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -39,6 +39,8 @@
   Gateway& operator=(const Gateway&) = delete;
 
   boost::asio::ip::tcp::endpoint listening() const { return clients_.listening(); }
+  // Discovery has a new address; the list held stays until it tells more.
+  void moveDiscovery(const boost::asio::ip::tcp::endpoint& server) { discovery_.moveTo(server); }
   // Finishes what was taken, then closes all and calls `done`.
   void drain(std::function<void()> done);
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -514,3 +514,19 @@
 
 }  // namespace
 }  // namespace cairnjunction::testing
+TEST_F(GatewayTest, AMovedDiscoveryIsWatchedAtItsNewAddress) {
+  FakeDiscovery other{io};
+  twoHosts(always(answerText(200, "", "ok")));
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  other.list = discovery.list;
+  discovery.peer.stopListening();
+  gateway->moveDiscovery(other.peer.endpoint);
+  ASSERT_TRUE(until([&] { return other.held.size() == 1; }));
+  EXPECT_NE(other.targets[0].find("since=1&"), std::string::npos) << "the list held is gone on with";
+  EXPECT_TRUE(until([&] { return discovery.held[0]->closedByPeer; }));
+  other.push({{"all", false}, {"targets", {target("s-0", hosts[0]->endpoint, "a", "DRAINING")}}});
+  ASSERT_TRUE(until([&] { return other.held.size() == 1; }));
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
+  EXPECT_TRUE(hosts[0]->requests.empty());
+}
+
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -2,6 +2,7 @@
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <fstream>
@@ -14,10 +15,10 @@
 
 std::string program;  // set once, by main
 
-pid_t run(const std::string& variable) {
-  std::vector<char*> argv{program.data(), nullptr};
-  std::string copy = variable;
-  std::vector<char*> env{copy.data(), nullptr};
+pid_t run(std::vector<std::string> variables) {
+  std::vector<char*> argv{program.data(), nullptr}, env;
+  for (std::string& variable : variables) env.push_back(variable.data());
+  env.push_back(nullptr);
   pid_t pid = 0;
   EXPECT_EQ(posix_spawn(&pid, program.c_str(), nullptr, nullptr, argv.data(), env.data()), 0);
   return pid;
@@ -29,7 +30,7 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
-TEST(Program, BadConfigurationEndsIt) { EXPECT_EQ(exitCode(run("GW_CONFIG=/nonexistent")), 2); }
+TEST(Program, BadConfigurationEndsIt) { EXPECT_EQ(exitCode(run({"GW_CONFIG=/nonexistent"})), 2); }
 
 TEST(Program, SigtermEndsItWithZero) {
   asio::io_context io;
@@ -43,7 +44,7 @@
   config["known"] = {{"rev", 1}, {"all", true}, {"targets", {target("s-0", loopback(1))}}};
   const std::string path = ::testing::TempDir() + "program_config.json";
   std::ofstream(path) << config;
-  const pid_t pid = run("GW_CONFIG=" + path);
+  const pid_t pid = run({"GW_CONFIG=" + path});
   tcp::socket socket(io);
   error_code ec = asio::error::not_connected;
   const auto end = std::chrono::steady_clock::now() + kPatience;
@@ -64,6 +65,39 @@
   std::remove(path.c_str());
 }
 
+TEST(Program, SighupMovesItToTheDiscoveryThatTheFileNames) {
+  asio::io_context io;
+  FakeDiscovery before{io}, after{io};
+  const auto until = [&](const auto& predicate) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!predicate() && std::chrono::steady_clock::now() < end) {
+      io.restart();
+      io.run_one_for(std::chrono::milliseconds(50));
+    }
+    return predicate();
+  };
+  const std::string path = ::testing::TempDir() + "reload_config_" + std::to_string(getpid()) + ".json";
+  json config = configJson();
+  config["known"] = {{"rev", 1}, {"all", true}, {"targets", {target("s-0", loopback(1))}}};
+  const auto write = [&](const std::string& text) {  // replaced whole, as the platform does
+    std::ofstream(path + ".new") << text;
+    std::rename((path + ".new").c_str(), path.c_str());
+  };
+  write(config.dump());
+  const pid_t pid = run({"GW_CONFIG=" + path, "GW_DISCOVERY=" + textOf(before.peer.endpoint)});
+  ASSERT_TRUE(until([&] { return before.held.size() == 1; }));
+  write("{");
+  kill(pid, SIGHUP);  // survived; the next one comes when the file is whole
+  config["discovery"] = textOf(after.peer.endpoint);
+  write(config.dump());
+  kill(pid, SIGHUP);
+  EXPECT_TRUE(until([&] { return after.held.size() == 1; }));
+  EXPECT_TRUE(until([&] { return before.held[0]->closedByPeer; }));
+  kill(pid, SIGTERM);
+  EXPECT_EQ(exitCode(pid), 0);
+  std::remove(path.c_str());
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
 
