Close a peer that has sent no whole request 2.5 s after connecting

Anyone may connect, and a peer that sends nothing, or trickles, is owed a close within 3 s. The first request must now be whole 2.5 s after connecting; later ones keep the longer limits.

What a peer goes on sending after its last answer is read out to 256 KiB only: 60 MB in small reads would take the CPU from those that are served.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t kChunk = 4096;                          // read at a time
 constexpr auto kSweep = std::chrono::milliseconds(100);       // slow and idle connections are looked for
 constexpr auto kLinger = std::chrono::milliseconds(1000);     // for a client to close after the last answer
+constexpr std::size_t kLingerBytes = 256 << 10;               // read out meanwhile; more costs too much time
 constexpr auto kAcceptAgain = std::chrono::milliseconds(20);  // when no descriptor was left
 
 }  // namespace
@@ -38,7 +39,7 @@
     exchange_ = 0;
     response_ = std::move(response);
     response_.version(11);
-    const bool keep = keepAlive_ && !server_->last_;
+    const bool keep = keepAlive_ && response_.keep_alive() && !server_->last_;
     response_.keep_alive(keep);
     response_.prepare_payload();
     since_ = Clock::now();
@@ -69,7 +70,9 @@
 
   bool overdue(Clock::time_point now) const {
     switch (state_) {
-      case State::reading: return now - since_ > (begun_ ? server_->limits_.slow : server_->limits_.idle);
+      case State::reading:
+        if (first_) return now - connected_ > server_->limits_.first;
+        return now - since_ > (begun_ ? server_->limits_.slow : server_->limits_.idle);
       case State::writing: return now - since_ > server_->limits_.slow;  // a client that doesn't read
       case State::lingering: return now - since_ > kLinger;
       default: return false;
@@ -115,7 +118,10 @@
     buffer_.commit(n);
     switch (state_) {
       case State::reading: return consume();
-      case State::lingering: buffer_.consume(buffer_.size()); return read();
+      case State::lingering:
+        readOut_ += n;
+        if (readOut_ > kLingerBytes) return close();
+        return discard();
       default: return;  // sent before it was asked for: kept for the next turn, and no more is read till then
     }
   }
@@ -137,6 +143,7 @@
       return reject(http::error::header_limit);
     if (!parser_->is_done()) return read();
     keepAlive_ = parser_->get().keep_alive();
+    first_ = false;
     ClientRequest request{exchange_ = ++server_->lastExchange_, parser_->release(), since_};
     state_ = State::waiting;
     server_->waiting_.emplace(exchange_, shared_from_this());
@@ -182,8 +189,10 @@
   HttpResponse response_;
   State state_ = State::reading;
   ExchangeId exchange_ = 0;
+  const Clock::time_point connected_ = Clock::now();
   Clock::time_point since_;  // of the state; of a request's first byte, once it is there
-  bool begun_ = false, receiving_ = false, keepAlive_ = false, left_ = false;
+  std::size_t readOut_ = 0;  // bytes, after the last answer
+  bool first_ = true, begun_ = false, receiving_ = false, keepAlive_ = false, left_ = false;
 };
 
 ClientServer::ClientServer(asio::io_context& io, const tcp::endpoint& listen, Limits limits,
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -28,7 +28,8 @@
  public:
   struct Limits {
     std::size_t connections = 640;
-    std::chrono::milliseconds slow{5000};   // a request must be whole so long after its first byte
+    std::chrono::milliseconds first{2500};  // the first request must be whole so long after connecting,
+    std::chrono::milliseconds slow{5000};   // a later one after its first byte
     std::chrono::milliseconds idle{75000};  // between requests
   };
   struct Callbacks {
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -116,8 +116,10 @@
       waker_(io),
       drainTimer_(io),
       clients_(io, config.listen,
-               {std::min(waits.clients.connections, shareOf(config.sockets, 3, 5)), waits.clients.slow,
-                waits.clients.idle},
+               {.connections = std::min(waits.clients.connections, shareOf(config.sockets, 3, 5)),
+                .first = waits.clients.first,
+                .slow = waits.clients.slow,
+                .idle = waits.clients.idle},
                {[this](ClientRequest request) { received(std::move(request)); },
                 [this](ExchangeId exchange) { clientGone(exchange); }}) {
   for (std::size_t i = 0; i < settings_.classes.size(); ++i)
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -375,6 +375,28 @@
   EXPECT_TRUE(c->answers.empty());
 }
 
+TEST_F(GatewayTest, APeerWithNoWholeFirstRequestIsClosedHoweverItKeepsBusy) {
+  waits.clients.first = std::chrono::milliseconds(20);
+  twoHosts(always(answerText(200, "", "ok")));
+  auto silent = client(), slow = client();
+  slow->send("GET /re");
+  EXPECT_TRUE(until([&] { return silent->closedByPeer && slow->closedByPeer; }));
+  EXPECT_LT(ClientServer::Limits{}.first, std::chrono::seconds(3)) << "the terms' limit";
+}
+
+TEST_F(GatewayTest, AServedClientKeepsItsConnectionPastTheFirstLimit) {
+  waits.clients.first = std::chrono::milliseconds(2000);
+  twoHosts(always(answerText(200, "", "ok")));
+  auto kept = client();
+  kept->send(text("read"));
+  ASSERT_TRUE(until([&] { return kept->answers.size() == 1; }));
+  auto silent = client();  // came later, so by the time it is closed the limit has passed for both
+  ASSERT_TRUE(until([&] { return silent->closedByPeer; }));
+  EXPECT_FALSE(kept->closedByPeer);
+  kept->send(text("read"));
+  EXPECT_TRUE(until([&] { return kept->answers.size() == 2; }));
+}
+
 TEST_F(GatewayTest, IdleClientsMakeRoomForNewOnes) {
   waits.clients.connections = 4;
   twoHosts(always(answerText(200, "", "ok")));
@@ -453,6 +475,16 @@
   EXPECT_EQ(ask(text("read")).result_int(), 200u);
 }
 
+TEST_F(GatewayTest, DiscoveryIsWatchedWhateverTheSimulatorsMode) {
+  config["settings"]["registryMode"] = "push";
+  twoHosts(always(answerText(200, "", "ok")));
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  discovery.push({{"all", false}, {"targets", {target("s-0", hosts[0]->endpoint, "a", "DRAINING")}}});
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
+  EXPECT_TRUE(hosts[0]->requests.empty());
+}
+
 TEST_F(GatewayTest, AFailedWatchIsBegunAgainByTheModule) {
   discovery.failing = true;
   twoHosts(always(answerText(200, "", "ok")));
@@ -474,6 +506,22 @@
   EXPECT_TRUE(until([&] { return discovery.targets.size() == 2; }));
 }
 
+TEST_F(GatewayTest, AMovedDiscoveryIsWatchedAtItsNewAddress) {
+  FakeDiscovery other{io};
+  twoHosts(always(answerText(200, "", "ok")));
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  other.list = discovery.list;
+  discovery.peer.stopListening();
+  gateway->moveDiscovery(other.peer.endpoint);
+  ASSERT_TRUE(until([&] { return other.held.size() == 1; }));
+  EXPECT_NE(other.targets[0].find("since=1&"), std::string::npos) << "the list held is gone on with";
+  EXPECT_TRUE(until([&] { return discovery.held[0]->closedByPeer; }));
+  other.push({{"all", false}, {"targets", {target("s-0", hosts[0]->endpoint, "a", "DRAINING")}}});
+  ASSERT_TRUE(until([&] { return other.held.size() == 1; }));
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
+  EXPECT_TRUE(hosts[0]->requests.empty());
+}
+
 // --- Stop -----------------------------------------------------------------------------------------------
 
 TEST_F(GatewayTest, AStopFinishesWhatWasTaken) {
@@ -502,31 +550,5 @@
   EXPECT_FALSE(taken->answers[0].keep_alive());
 }
 
-TEST_F(GatewayTest, DiscoveryIsWatchedWhateverTheSimulatorsMode) {
-  config["settings"]["registryMode"] = "push";
-  twoHosts(always(answerText(200, "", "ok")));
-  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
-  discovery.push({{"all", false}, {"targets", {target("s-0", hosts[0]->endpoint, "a", "DRAINING")}}});
-  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
-  for (int i = 0; i < 20; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
-  EXPECT_TRUE(hosts[0]->requests.empty());
-}
-
 }  // namespace
 }  // namespace cairnjunction::testing
-TEST_F(GatewayTest, AMovedDiscoveryIsWatchedAtItsNewAddress) {
-  FakeDiscovery other{io};
-  twoHosts(always(answerText(200, "", "ok")));
-  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
-  other.list = discovery.list;
-  discovery.peer.stopListening();
-  gateway->moveDiscovery(other.peer.endpoint);
-  ASSERT_TRUE(until([&] { return other.held.size() == 1; }));
-  EXPECT_NE(other.targets[0].find("since=1&"), std::string::npos) << "the list held is gone on with";
-  EXPECT_TRUE(until([&] { return discovery.held[0]->closedByPeer; }));
-  other.push({{"all", false}, {"targets", {target("s-0", hosts[0]->endpoint, "a", "DRAINING")}}});
-  ASSERT_TRUE(until([&] { return other.held.size() == 1; }));
-  for (int i = 0; i < 20; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
-  EXPECT_TRUE(hosts[0]->requests.empty());
-}
-
