Refuse requests with an unclear end and close after every rejected message

The parser takes a body in a transfer coding that it does not know, or one without a length, for the next request on the connection, so a peer could have a request reach a record server that no client sent. Such messages, HTTP/1.0, a missing or second Host, a body on GET and repeated X-Request-Id, X-Class, X-Deadline-Ms or Idempotency-Key now get a 4xx or 5xx, and any rejected message ends its connection.

Without the change the test waits in vain for the close, and the request inside the body is served.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
@@ -80,6 +81,19 @@
     message.erase(f);
 }
 
+// `ok` if the message has one clear end (RFC 9112, 6), else the status to answer. Danger: the parser takes a
+// body in a coding that it doesn't know, or with no length, for the next request.
+http::status judgeFraming(const HttpRequest& message) {
+  if (message.version() != 11) return http::status::http_version_not_supported;
+  if (message.count(http::field::host) != 1) return http::status::bad_request;
+  const bool coded = message.count(http::field::transfer_encoding) > 0;
+  if (coded && !boost::beast::iequals(message[http::field::transfer_encoding], "chunked"))
+    return http::status::not_implemented;
+  const bool get = message.method() == http::verb::get;
+  if (!get && !coded && !message.has_content_length()) return http::status::length_required;
+  return get && (coded || !message.body().empty()) ? http::status::bad_request : http::status::ok;
+}
+
 HttpResponse plain(http::status status) {
   HttpResponse response;
   response.result(status);
@@ -180,7 +194,12 @@
         request.exchange, plain(ready_ && !draining_ ? http::status::ok : http::status::service_unavailable));
   ochrehill::Request asked;
   const http::status status = describe(message, asked);
-  if (status != http::status::ok) return clients_.answer(request.exchange, plain(status));
+  if (status != http::status::ok) {
+    // Danger: where such a message ends is doubtful; what follows it must not pass for a request.
+    HttpResponse response = plain(status);
+    response.keep_alive(false);
+    return clients_.answer(request.exchange, std::move(response));
+  }
   asked.id = ++lastRequest_;
   asked.left -= (Clock::now() - request.began) + kAnswerMargin;
   stripHop(request.message);
@@ -198,13 +217,19 @@
   if (found == classOf_.end()) return http::status::not_found;
   request.classIndex = found->second;
   const ochrehill::ClassSettings& c = settings_.classes[found->second];
-  if (message.count("X-Class") && message["X-Class"] != string_view(c.name)) return http::status::bad_request;
+  if (!message["X-Class"].empty() && message["X-Class"] != string_view(c.name))
+    return http::status::bad_request;
   if (message["X-Request-Id"].empty()) return http::status::bad_request;
+  // Danger: of two the host may take the other.
+  for (const char* name : {"X-Request-Id", "X-Class", "X-Deadline-Ms", "Idempotency-Key"})
+    if (message.count(name) > 1) return http::status::bad_request;
   // Danger: hosts take the method for the class's promise. A keyed request with no key is dropped by nobody
   // when it is repeated, so it may not pass for one.
   const bool get = message.method() == http::verb::get;
   if (!get && message.method() != http::verb::post) return http::status::method_not_allowed;
   if (get != (c.effect == Effect::retryable)) return http::status::method_not_allowed;
+  const http::status framing = judgeFraming(message);
+  if (framing != http::status::ok) return framing;
   if (c.effect == Effect::dedup && message["Idempotency-Key"].empty()) return http::status::bad_request;
   request.left = c.giveUp;
   if (message.count("X-Deadline-Ms")) {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -397,6 +397,33 @@
   EXPECT_TRUE(until([&] { return kept->answers.size() == 2; }));
 }
 
+TEST_F(GatewayTest, WhatFollowsAnUnclearMessageIsNoRequest) {
+  twoHosts(always(answerText(200, "", "ok")));
+  const std::string head = "HTTP/1.1\r\nHost: x\r\nX-Request-Id: r\r\n", inner = text("read");
+  const std::string length = "Content-Length: " + std::to_string(inner.size()) + "\r\n";
+  const auto refused = [&](const std::string& message) {
+    auto c = client();
+    c->send(message + inner);
+    EXPECT_TRUE(until([&] { return c->closedByPeer; })) << message;
+    ASSERT_EQ(c->answers.size(), 1u) << message;
+    EXPECT_GE(c->answers[0].result_int(), 400u) << message;
+    EXPECT_FALSE(c->answers[0].keep_alive()) << message;
+  };
+  refused("POST /write " + head + "\r\n");
+  refused("POST /write " + head + "Transfer-Encoding: identity\r\n\r\n");
+  refused("POST /write " + head + "Transfer-Encoding: xchunked\r\n\r\n");
+  refused("POST /write " + head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n");
+  refused("POST /write " + head + length + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  refused("POST /write " + head + "Content-Length: 0\r\n" + length + "\r\n");
+  refused("GET /read " + head + length + "\r\n");
+  refused("GET /read " + head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  refused("GET /read HTTP/1.0\r\nHost: x\r\nX-Request-Id: r\r\nConnection: keep-alive\r\n\r\n");
+  refused("GET /read HTTP/1.1\r\nX-Request-Id: r\r\n\r\n");
+  refused("GET /read " + head + "X-Request-Id: s\r\n\r\n");
+  refused("GET /nothing " + head + "\r\n");
+  EXPECT_TRUE(reached.empty());
+}
+
 TEST_F(GatewayTest, IdleClientsMakeRoomForNewOnes) {
   waits.clients.connections = 4;
   twoHosts(always(answerText(200, "", "ok")));
