--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -85,12 +85,12 @@
 // body in a coding that it doesn't know, or with no length, for the next request.
 http::status judgeFraming(const HttpRequest& message) {
   if (message.version() != 11) return http::status::http_version_not_supported;
-  if (message.count(http::field::host) != 1) return http::status::bad_request;
   const bool coded = message.count(http::field::transfer_encoding) > 0;
   if (coded && !boost::beast::iequals(message[http::field::transfer_encoding], "chunked"))
     return http::status::not_implemented;
   const bool get = message.method() == http::verb::get;
-  if (!get && !coded && !message.has_content_length()) return http::status::length_required;
+  if (message.method() == http::verb::post && !coded && !message.has_content_length())
+    return http::status::length_required;
   return get && (coded || !message.body().empty()) ? http::status::bad_request : http::status::ok;
 }
 
@@ -189,11 +189,12 @@
 
 void Gateway::received(ClientRequest request) {
   const HttpRequest& message = request.message;
-  if (message.target() == "/up" && message.method() == http::verb::get)
+  ochrehill::Request asked;
+  http::status status = judgeFraming(message);
+  if (status == http::status::ok && message.target() == "/up" && message.method() == http::verb::get)
     return clients_.answer(
         request.exchange, plain(ready_ && !draining_ ? http::status::ok : http::status::service_unavailable));
-  ochrehill::Request asked;
-  const http::status status = describe(message, asked);
+  if (status == http::status::ok) status = describe(message, asked);
   if (status != http::status::ok) {
     // Danger: where such a message ends is doubtful; what follows it must not pass for a request.
     HttpResponse response = plain(status);
@@ -228,8 +229,7 @@
   const bool get = message.method() == http::verb::get;
   if (!get && message.method() != http::verb::post) return http::status::method_not_allowed;
   if (get != (c.effect == Effect::retryable)) return http::status::method_not_allowed;
-  const http::status framing = judgeFraming(message);
-  if (framing != http::status::ok) return framing;
+  if (message.count(http::field::host) != 1) return http::status::bad_request;
   if (c.effect == Effect::dedup && message["Idempotency-Key"].empty()) return http::status::bad_request;
   request.left = c.giveUp;
   if (message.count("X-Deadline-Ms")) {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -421,6 +421,7 @@
   refused("GET /read HTTP/1.1\r\nX-Request-Id: r\r\n\r\n");
   refused("GET /read " + head + "X-Request-Id: s\r\n\r\n");
   refused("GET /nothing " + head + "\r\n");
+  refused("GET /up " + head + "Transfer-Encoding: xchunked\r\n\r\n");
   EXPECT_TRUE(reached.empty());
 }
 
@@ -533,12 +534,12 @@
   EXPECT_TRUE(until([&] { return discovery.targets.size() == 2; }));
 }
 
-TEST_F(GatewayTest, AMovedDiscoveryIsWatchedAtItsNewAddress) {
 TEST_F(GatewayTest, ALostWatchIsAskedAgainBeforeTheDrainGraceIsOver) {
   const std::chrono::milliseconds told{2000}, grace{1000}, backoff{1500};  // the module's after one failure
   EXPECT_LE(Discovery::Waits{}.answer + backoff, told + grace);
 }
 
+TEST_F(GatewayTest, AMovedDiscoveryIsWatchedAtItsNewAddress) {
   FakeDiscovery other{io};
   twoHosts(always(answerText(200, "", "ok")));
   ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
