Give a Retry-After also with refusals after failed or impossible attempts

A request that the cutoff refuses carries a Retry-After; one that the module gave up later, with all hosts full or no time left for an answer, told its client nothing, though the settings allow it. Both now go through refuse(), with the same wait by score.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -591,7 +591,16 @@
     for (std::uint32_t i = 0; i < r.count; ++i) mayHaveRun |= r.tries[i].mayHaveRun;
     const bool harmless = !mayHaveRun || c.effect == Effect::retryable ||
                           (c.effect == Effect::dedup && c.group == Group::all && r.out == 0);
-    emit(harmless ? ActionKind::refuse : ActionKind::fail, r.id);
+    if (harmless) return refuse(r);
+    emit(ActionKind::fail, r.id);
+    end(r);
+  }
+
+  // Retry-after lengthens as the score falls; jittered, or they would all come due together.
+  void refuse(Open& r) {
+    Duration after{};
+    if (set.retryAfter) after = scaled(set.maxRetryAfter, (1 - r.score / 100) * (0.5 + 0.5 * drawUnit()));
+    emit(ActionKind::refuse, r.id, 0, kNone, after);
     end(r);
   }
 
@@ -722,15 +731,11 @@
     if (c.norm > 0) meanWork += (meanWork > 0 ? kNormGain : 1.0) * (c.norm * r.cost - meanWork);
     asked += 1;
     retryTokens = std::min(retryTokens + kRetryShare, kRetrySaved + kRetryShare * askedRate);
-    const double score = scoreOf(worthOf(r, q.tenantIndex));
+    r.score = scoreOf(worthOf(r, q.tenantIndex));
     smoothHeld += (heldNow() - smoothHeld) * kHeldGain * std::sqrt(evidence());
     renewCut();
-    if (score < cut) {
-      // Retry-after lengthens as the score falls; jittered, or they would all come due together.
-      Duration after{};
-      if (set.retryAfter) after = scaled(set.maxRetryAfter, (1 - score / 100) * (0.5 + 0.5 * drawUnit()));
-      emit(ActionKind::refuse, r.id, 0, kNone, after);
-      end(r);
+    if (r.score < cut) {
+      refuse(r);
     } else if (inTurn(r)) {
       enqueue(r, slot);
     } else {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -88,7 +88,8 @@
   std::uint32_t generation = 0;
   std::uint32_t cls = kNone;
   Time deadline{}, aimAt{};
-  double cost = 0;  // against the class's mean
+  double cost = 0;   // against the class's mean
+  double score = 0;  // 1 to 100
   std::uint64_t key = 0;
   bool hasKey = false, live = false, ended = false, bound = false;
   std::array<Try, kTries> tries;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -94,6 +94,21 @@
   }
 }
 
+TEST(RetryAfter, IsGivenAlsoWhenAttemptsFailed) {
+  for (bool received : {true, false}) {
+    Settings s = makeSettings();
+    s.retryAfter = received;
+    s.maxRetryAfter = milliseconds(1000);
+    Driver d(s, 6);
+    const RequestId id = d.request(1);
+    while (!d.out.empty()) d.settle(Sent(d.out.front()), Outcome::full, false);
+    ASSERT_TRUE(d.refused(id));
+    if (received) EXPECT_GT(d.retryAfter[id], Duration{});
+    else EXPECT_EQ(d.retryAfter[id], Duration{});
+    EXPECT_LE(d.retryAfter[id], s.maxRetryAfter);
+  }
+}
+
 // --- Pick ---
 
 TEST(Pick, IdleHostsFirst) {
