Order a key's hosts by weight, so that small hosts of a large pool do not drown

The cutoff stood at 100 although the pool had room: the gateways hold their requests at the drowned servers until the time-out.

Checked and ruled out: connection limits (large servers answered no "full" at all, and 89 connections a server at once were the most), discovery (100 calls in the first second, no failure, none after), bad servers (errors began at 4 s, the drowning at 0.5 s).

At fault: the keyed branch of pick(). It ordered a key's hosts by hash alone and took the first with none of our requests, so each host got the same part of the keys. Three gateways see a host busy; of a hundred none holds more than one request anywhere. The branch for requests without a key leans on pace and on trust in the class; the keyed one did not. Now the rendezvous order is weighted by the same figure; gateways that have learned alike still agree on a key's host.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -126,6 +126,7 @@
   std::vector<Level> levels;
   std::priority_queue<Guard, std::vector<Guard>, std::greater<>> guards;
   std::vector<HostId> ready;
+  std::vector<std::pair<double, HostId>> ranks;  // scratch of the pick: ready hosts in a key's order
   std::unordered_map<std::uint64_t, Turn> turns;
   std::vector<std::uint64_t> turnsDue;  // keys whose turn may have passed on in this event
 
@@ -469,6 +470,9 @@
     const double well = 1 - std::max(h.classFails[cls] - kClassOver * classes[cls].fails, 0.0);
     return std::max(well * well * well, kClassLeast);
   }
+  double drawWeight(const Host& h, std::uint32_t cls) const {
+    return trust(h, cls) / std::max(h.pace * h.pace, 0.01);
+  }
   double load(const Host& h) const { return (h.inflight + 1) * h.pace; }
   bool idle(const Host& h) const {  // holds none of ours; a fast host may hold more
     return h.inflight < std::max(1.0, medianPace / std::max(h.pace, 0.05));
@@ -537,16 +541,21 @@
     for (HostId id : ready)
       if (r.count == 0 && isCold(hosts[id]) && idle(hosts[id]) && drawUnit() > evidence()) return id;
     if (set.warmKeys && r.hasKey) {
-      // Warm keys: the first hosts in the key's rendezvous order, the same at all gateways.
+      // Warm keys: the first hosts in the key's weighted rendezvous order, nearly the same at all gateways.
+      // Danger: unweighted, every host gets the same part of the keys. Gateways that share a large pool hold
+      // too little anywhere to see that a small host is busy, and drown it together.
       const std::size_t most = std::min(kWarmCandidates, ready.size());
-      std::partial_sort(
-          ready.begin(), ready.begin() + static_cast<std::ptrdiff_t>(most), ready.end(),
-          [&](HostId a, HostId b) { return mix(hosts[a].hash ^ r.key) > mix(hosts[b].hash ^ r.key); });
-      ready.resize(most);
-      for (std::size_t i = 0; i < most; ++i) {
-        const Host& h = hosts[ready[i]];
-        if (idle(h) && drawUnit() < h.share) return ready[i];
+      ranks.clear();
+      for (HostId id : ready) {
+        const Host& h = hosts[id];
+        const double unit = (static_cast<double>(mix(h.hash ^ r.key) >> 11) + 0.5) * 0x1.0p-53;
+        ranks.emplace_back(-std::log(unit) / drawWeight(h, r.cls), id);
       }
+      std::partial_sort(ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(most), ranks.end());
+      ready.clear();
+      for (std::size_t i = 0; i < most; ++i) ready.push_back(ranks[i].second);
+      for (HostId id : ready)
+        if (idle(hosts[id]) && drawUnit() < hosts[id].share) return id;
     }
     // Danger: beside many gateways our own in-flight says little, every host looks idle, and the own zone is
     // overrun; so the draw leans towards hosts that answer fast, and towards the own zone only lightly.
@@ -555,8 +564,7 @@
     for (HostId id : ready) {
       const Host& h = hosts[id];
       if (!idle(h)) continue;
-      const double weight =
-          (h.local ? kLocalLean : 1) * h.share * trust(h, r.cls) / std::max(h.pace * h.pace, 0.01);
+      const double weight = (h.local ? kLocalLean : 1) * h.share * drawWeight(h, r.cls);
       sum += weight;
       if (drawUnit() * sum < weight) chosen = id;
     }
--- a/tests/bank_test.cpp
+++ b/tests/bank_test.cpp
@@ -277,6 +277,40 @@
   EXPECT_GT(d.sentTo(d.host(8)) + d.sentTo(d.host(10)), 2 * (d.sentTo(d.host(9)) + d.sentTo(d.host(11))));
 }
 
+// By an unweighted order of keys every host gets the same part of them; each of many gateways holds next to
+// nothing anywhere, so none of them sees that the small hosts drown.
+TEST(WarmKeys, SmallHostsOfALargePoolGetFewerKeys) {
+  constexpr int kHosts = 40;
+  std::vector<HostEntry> list;
+  for (int i = 0; i < kHosts; ++i) {
+    list.push_back(makeHost(i));
+    list.back().kind = i % 2 ? "small" : "large";
+  }
+  Settings s = makeSettings();
+  s.groupSize = 100;
+  s.warmKeys = true;
+  Driver d(s, 0);
+  d.balancer.onHosts(d.now, ListKind::replace, list);
+  const auto run = [&](int requests) {
+    d.forget();
+    for (int i = 0; i < requests; ++i) {
+      d.request(0, milliseconds(1000), static_cast<std::uint64_t>(1 + i % 300));
+      const Sent o = d.out.front();
+      bool small = false;
+      for (int h = 1; h < kHosts; h += 2) small |= o.host == d.host(h);
+      d.settle(o, Outcome::served, true, milliseconds(small ? 90 : 30));
+      d.advance(milliseconds(50), milliseconds(50));
+    }
+  };
+  run(200);  // ten seconds: ten answers a host at the most
+  run(600);
+  std::size_t small = 0, all = d.sent.size();
+  for (int h = 1; h < kHosts; h += 2) small += d.sentTo(d.host(h));
+  EXPECT_EQ(all, 600u);
+  EXPECT_LT(small * 4, all);
+  EXPECT_GT(small, 0u);
+}
+
 // A connect that fails costs its time-out; the host is down or at its cap, so the next ones go elsewhere.
 TEST(Connect, AHostThatDoesNotLetUsInRestsAtOnce) {
   Driver d(makeSettings(), 6);
