--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -123,7 +123,7 @@
   std::vector<Open> slots;
   std::vector<std::uint32_t> freeSlots;
   std::unordered_map<RequestId, std::uint32_t> slotOf;
-  std::vector<Level> levels;
+  Levels levels;
   std::priority_queue<Guard, std::vector<Guard>, std::greater<>> guards;
   std::vector<HostId> ready;
   std::vector<std::pair<double, HostId>> ranks;  // scratch of the pick: ready hosts in a key's order
@@ -337,21 +337,8 @@
     return worth;
   }
 
-  // Rank within the recent traffic: a cutoff of c refuses about c per cent. A seeded draw spreads each
-  // level over its own band, so equal worth shares the loss and higher worth is never cut first.
-  double scoreOf(double worth) {
-    std::size_t at = 0;
-    while (at < levels.size() && levels[at].worth < worth * 0.999) ++at;
-    if (at == levels.size() || levels[at].worth > worth * 1.001 + 1e-12)
-      levels.insert(levels.begin() + static_cast<std::ptrdiff_t>(at), Level{worth, 0});
-    levels[at].seen += 1;
-    double below = 0, all = 0;
-    for (std::size_t i = 0; i < levels.size(); ++i) {
-      all += levels[i].seen;
-      if (i < at) below += levels[i].seen;
-    }
-    return 1 + 99 * (below + drawUnit() * levels[at].seen) / all;
-  }
+  // Rank within the recent traffic: a cutoff of c refuses about c per cent.
+  double scoreOf(double worth) { return 1 + 99 * levels.rank(worth, drawUnit()); }
 
   // --- Cutoff -----------------------------------------------------------------------------------------
 
@@ -402,10 +389,8 @@
       if (c.norm > 0) sum += c.norm, seen += 1;
     norm = seen > 0 ? sum / seen : 0;
     for (double& l : idleLost) l *= 1 - kLostFade;
-    for (Level& l : levels) l.seen *= 1 - kSlowGain;
+    levels.fade(kSlowGain);
     std::erase_if(turns, [&](const auto& t) { return t.second.queue.empty() && now >= t.second.restUntil; });
-    levels.erase(std::remove_if(levels.begin(), levels.end(), [](const Level& l) { return l.seen < 0.01; }),
-                 levels.end());
     // Danger: with few arrivals a past burst would linger.
     smoothHeld += (heldNow() - smoothHeld) * kHeldSweep * evidence() * evidence();
     renewCut();
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -104,8 +104,34 @@
   double rate = 0, proven = 0;   // answers a second that a warm host of this kind gives us; kept for a while
 };
 
-struct Level {  // requests of one worth, for the ranks
-  double worth = 0, seen = 0;
+// The recent traffic by worth.
+class Levels {
+ public:
+  // Notes a request of this worth; the share of the traffic, 0 to 1, that ranks below it. The draw spreads
+  // each level over its own band, so equal worth shares the loss and higher worth is never cut first.
+  double rank(double worth, double draw) {
+    std::size_t at = 0;
+    while (at < levels_.size() && levels_[at].worth < worth * 0.999) ++at;
+    if (at == levels_.size() || levels_[at].worth > worth * 1.001 + 1e-12)
+      levels_.insert(levels_.begin() + static_cast<std::ptrdiff_t>(at), Level{worth, 0});
+    levels_[at].seen += 1;
+    double below = 0, all = 0;
+    for (std::size_t i = 0; i < levels_.size(); ++i) {
+      all += levels_[i].seen;
+      if (i < at) below += levels_[i].seen;
+    }
+    return (below + draw * levels_[at].seen) / all;
+  }
+  void fade(double gain) {
+    for (Level& l : levels_) l.seen *= 1 - gain;
+    std::erase_if(levels_, [](const Level& l) { return l.seen < 0.01; });
+  }
+
+ private:
+  struct Level {
+    double worth = 0, seen = 0;
+  };
+  std::vector<Level> levels_;
 };
 
 struct ClassState {
