Share a favourite key among hosts, where many gateways each see little of it

A key's part of the traffic reaches several per cent; all gateways send it to one host, which is a sixtieth of the pool.

At fault: pick() goes on to a key's next host only when this gateway holds a request at the first. That works for three gateways; of a hundred none holds two at once. Now a thin gateway counts each key's part of its last 256 requests and draws among as many hosts as that part fills, twice over. Gateways with much evidence do as before.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -79,6 +79,7 @@
 constexpr double kLostFade = 0.005;  // per sweep: tried again after some twenty seconds
 constexpr double kLostStale = 0.3;   // lost so often, and over the share lost on fresh ones, it is given back
 constexpr std::size_t kWarmCandidates = 3;  // hosts that share the warmth of one key at least,
+constexpr double kKeySpread = 2;            // hosts for a key, times those that its part of the traffic fills
 constexpr double kFailGain = 0.12;          // per outcome: five failures on end make one half
 constexpr double kFailEject = 0.45;         // failure share that ejects,
 constexpr double kFailPeers = 2.5;  // if it is also this many times that of the better quarter of the pool
@@ -127,6 +128,7 @@
   std::priority_queue<Guard, std::vector<Guard>, std::greater<>> guards;
   std::vector<HostId> ready;
   std::vector<std::pair<double, HostId>> ranks;  // scratch of the pick: ready hosts in a key's order
+  RecentKeys recentKeys;
   std::unordered_map<std::uint64_t, Turn> turns;
   std::vector<std::uint64_t> turnsDue;  // keys whose turn may have passed on in this event
 
@@ -517,6 +519,14 @@
     }
   }
 
+  // Hosts that share a key. Danger: a favourite key asks for more than its host can do. Where the host is
+  // ours nearly alone we see it busy and take the next; beside many gateways no one of them sees that.
+  std::size_t spreadOf(std::uint64_t key) const {
+    const double wide =
+        kKeySpread * recentKeys.part(key) * static_cast<double>(listed.size()) * (1 - evidence());
+    return static_cast<std::size_t>(std::max(std::ceil(wide), 1.0));
+  }
+
   HostId pick(const Open& r) {
     gather(r, false);
     if (ready.empty()) gather(r, true);  // no healthy host: any that the rules allow beats none
@@ -529,7 +539,8 @@
       // Warm keys: the first hosts in the key's weighted rendezvous order, nearly the same at all gateways.
       // Danger: unweighted, every host gets the same part of the keys. Gateways that share a large pool hold
       // too little anywhere to see that a small host is busy, and drown it together.
-      const std::size_t most = std::min(kWarmCandidates, ready.size());
+      const std::size_t spread = spreadOf(r.key);
+      const std::size_t most = std::min(std::max(kWarmCandidates, spread), ready.size());
       ranks.clear();
       for (HostId id : ready) {
         const Host& h = hosts[id];
@@ -539,8 +550,11 @@
       std::partial_sort(ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(most), ranks.end());
       ready.clear();
       for (std::size_t i = 0; i < most; ++i) ready.push_back(ranks[i].second);
-      for (HostId id : ready)
+      const std::size_t start = spread > 1 ? drawBelow(std::min(spread, most)) : 0;
+      for (std::size_t i = 0; i < most; ++i) {
+        const HostId id = ready[(start + i) % most];
         if (idle(hosts[id]) && drawUnit() < hosts[id].share) return id;
+      }
     }
     // Danger: beside many gateways our own in-flight says little, every host looks idle, and the own zone is
     // overrun; so the draw leans towards hosts that answer fast, and towards the own zone only lightly.
@@ -723,6 +737,7 @@
     meanAim += kNormGain * (toSeconds(c.set.aim + late) - meanAim);
     if (c.norm > 0) meanWork += (meanWork > 0 ? kNormGain : 1.0) * (c.norm * r.cost - meanWork);
     asked += 1;
+    if (set.warmKeys && r.hasKey) recentKeys.note(r.key);
     retryTokens = std::min(retryTokens + kRetryShare, kRetrySaved + kRetryShare * askedRate);
     r.score = scoreOf(worthOf(r, q.tenantIndex));
     smoothHeld += (heldNow() - smoothHeld) * kHeldGain * std::sqrt(evidence());
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -147,6 +148,29 @@
   Time restUntil{};
 };
 
+// Each key's part of the recent traffic.
+class RecentKeys {
+ public:
+  void note(std::uint64_t key) {
+    recent_.push_back(key);
+    ++seen_[key];
+    if (recent_.size() <= kKept) return;
+    const auto oldest = seen_.find(recent_.front());
+    if (--oldest->second == 0) seen_.erase(oldest);
+    recent_.pop_front();
+  }
+  double part(std::uint64_t key) const {
+    const auto seen = seen_.find(key);
+    // The first requests of all prove nothing of their keys.
+    return seen == seen_.end() ? 0 : seen->second / static_cast<double>(std::max(recent_.size(), kKept / 4));
+  }
+
+ private:
+  static constexpr std::size_t kKept = 256;  // a key of one per cent is seen
+  std::deque<std::uint64_t> recent_;
+  std::unordered_map<std::uint64_t, std::uint32_t> seen_;
+};
+
 enum class Due { answer, copy, turn };  // last moment for an answer; a second copy; a look at the key's turn
 
 struct Guard {
--- a/tests/bank_test.cpp
+++ b/tests/bank_test.cpp
@@ -311,6 +311,29 @@
   EXPECT_GT(small, 0u);
 }
 
+// All gateways send a key to the same host. A favourite's is busy, and no one of many gateways sees that.
+TEST(WarmKeys, AFavouriteKeyIsSharedByHostsInProportionAndOthersStay) {
+  Settings s = makeSettings();
+  s.groupSize = 100;
+  s.warmKeys = true;
+  Driver d(s, 50);
+  const auto hostsOf = [&](std::uint64_t key, int every) {
+    std::set<HostId> met;
+    for (int i = 0; i < 600; ++i) {
+      const bool mine = i % every == 0;
+      d.request(0, milliseconds(1000), mine ? key : static_cast<std::uint64_t>(10000 + i));
+      if (mine && i > 100) met.insert(d.out.front().host);
+      d.settle(d.out.front(), Outcome::served, true, milliseconds(40));
+      d.advance(milliseconds(50), milliseconds(50));
+    }
+    return met.size();
+  };
+  const std::size_t favourite = hostsOf(1, 10), rare = hostsOf(2, 200);
+  EXPECT_GE(favourite, 5u) << "a tenth of the traffic, where a host's part is a fiftieth";
+  EXPECT_LE(favourite, 15u) << "it still meets warm hosts";
+  EXPECT_LE(rare, 2u);
+}
+
 // A connect that fails costs its time-out; the host is down or at its cap, so the next ones go elsewhere.
 TEST(Connect, AHostThatDoesNotLetUsInRestsAtOnce) {
   Driver d(makeSettings(), 6);
