Let losses teach a machine kind, and keep slow answers from setting the usual time

Checked: the single host's pace does learn from time-outs, but a gateway of a hundred meets a host once in three seconds; it lives by what it knows of the kind.

At fault, both in judge(): a kind's pace was taught by served answers alone, which a drowned kind does not give, and the usual time was a plain mean, which the slow few carry away. Now time-outs and "full" answers teach host and kind alike (learnPace), an answer counts as two usual times at the most, and the first answers of all weigh equally instead of a fiftieth.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -29,9 +29,15 @@
 constexpr double kFastGain = 0.2;               // per sweep: rates over about half a second
 constexpr double kSteadyRate = 80;              // requests a second that make half a second steady enough
 constexpr double kSlowGain = 0.008;             // per sweep: the traffic mix is remembered about ten seconds
-constexpr double kNormGain = 0.02;  // per answer: a class's usual time, over its last fifty answers
+constexpr double kNormGain =
+    0.02;  // per answer: a usual time, over the last fifty answers; at first over all
+// Danger: the mean of all answers follows the slow few, and by a long usual time nothing looks slow or
+// silent.
+constexpr double kNormClip = 2;     // an answer counts as this many usual times at the most
+constexpr double kKindPrior = 4;    // answers that a kind is taken for a usual one before it is known
 constexpr double kPaceFade = 0.05;  // per sweep without requests: an old pace fades in two seconds at least
 constexpr double kPaceGain = 0.1;   // per answer: a host's pace, over its last ten answers
+constexpr double kFullPace = 2;     // "full": it takes this many times the host's pace, at the least
 
 // In-flight overload. By Little's law the mean time in flight is in-flight / rate, so the pool carries
 // `rate x aim` at most if answers are to be in time.
@@ -191,10 +197,9 @@
         h.served += 1;
         const double usual = taken / r.cost;
         if (c.norm <= 0) c.norm = usual;
-        const double sample = std::min(taken / (c.norm * r.cost), 20.0);
-        h.pace += kPaceGain * (sample - h.pace);
-        kinds[h.kind].pace += kNormGain * (sample - kinds[h.kind].pace);
-        c.norm += kNormGain * (usual - c.norm);
+        learnPace(h, taken / (c.norm * r.cost));
+        c.answers += 1;
+        c.norm += std::max(kNormGain, 1 / c.answers) * (std::min(usual, kNormClip * c.norm) - c.norm);
         // Danger: counted one by one, heavy answers make a gateway that is cut down to a heavy class think
         // the pool slow and starve, while others take its share. By its usual time an answer weighs as its
         // work.
@@ -206,12 +211,12 @@
                            // idle.
         h.heard = now;
         h.errors += 1;
+        learnPace(h, std::max(kFullPace * h.pace, kinds[h.kind].pace));
         if (h.fulls < kFullRow) fullSeen += trust(h, r.cls);  // beyond that only this host is in trouble
         if (++h.fulls >= kFullRow) h.restUntil = now + scaled(kFullRest, 0.5 + drawUnit());
         break;
       case Outcome::timeout:
-        if (c.norm > 0 && taken > c.norm * r.cost)
-          h.pace += kPaceGain * (std::min(taken / (c.norm * r.cost), 20.0) - h.pace);
+        if (c.norm > 0 && taken > c.norm * r.cost) learnPace(h, taken / (c.norm * r.cost));
         failed = true;
         break;
       case Outcome::error:
@@ -249,6 +254,16 @@
     }
   }
 
+  // Danger: what is lost must teach the kind, too. If only answers do, a kind that drowns answers little and
+  // goes on being taken for a usual one by every gateway that has not met the host itself.
+  void learnPace(Host& h, double sample) {
+    sample = std::min(sample, 20.0);
+    h.pace += kPaceGain * (sample - h.pace);
+    Kind& k = kinds[h.kind];
+    k.answers += 1;
+    k.pace += std::max(kNormGain, 1 / (k.answers + kKindPrior)) * (sample - k.pace);
+  }
+
   // Live weights tell what a host holds of all gateways together, some time ago. Danger: a host that all pass
   // over at once empties and looks best next time; so each word moves its share by a little.
   void crowded(Host& h, double crowd) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -99,6 +99,7 @@
 
 struct Kind {  // machines of one size
   std::string name;
+  double answers = 0;            // and losses that taught its pace
   double pace = 1;               // of its hosts in the mean: what a host not heard of is taken for
   double weight = 0;             // of an empty host
   double served = 0, count = 0;  // by warm hosts since the last sweep, and how many they are
@@ -138,6 +139,7 @@
 struct ClassState {
   ClassSettings set;
   double norm = 0;      // seconds; zero until the first answer
+  double answers = 0;   // that taught it
   double meanCost = 0;  // seconds, of the hints
   Duration usualLeft{};
   double fails = 0;  // share of failed attempts, over all hosts
--- a/tests/bank_test.cpp
+++ b/tests/bank_test.cpp
@@ -293,6 +293,65 @@
   EXPECT_GT(d.sentTo(d.host(8)) + d.sentTo(d.host(10)), 2 * (d.sentTo(d.host(9)) + d.sentTo(d.host(11))));
 }
 
+// A kind that drowns answers nothing; it was taken for a usual one at every host not met before.
+TEST(Pace, AKindThatOnlyLosesIsKnownAsSlow) {
+  for (Outcome loss : {Outcome::timeout, Outcome::full}) {
+    std::vector<HostEntry> list;
+    for (int i = 0; i < 20; ++i) {
+      list.push_back(makeHost(i));
+      list.back().kind = i % 2 ? "drowned" : "good";
+    }
+    Settings s = makeSettings();
+    s.groupSize = 100;
+    s.warmKeys = true;
+    Driver d(s, 0);
+    d.balancer.onHosts(d.now, ListKind::replace, {list.begin(), list.begin() + 12});
+    for (int i = 0; i < 400; ++i) {
+      d.request(0);
+      while (!d.out.empty()) {
+        const Sent o = d.out.front();
+        bool drowned = false;
+        for (int h = 1; h < 12; h += 2) drowned |= o.host == d.host(h);
+        d.settle(o, drowned ? loss : Outcome::served, !drowned, milliseconds(drowned ? 400 : 40));
+      }
+      d.advance(milliseconds(50), milliseconds(50));
+    }
+    d.balancer.onHosts(d.now, ListKind::update, {list.begin() + 12, list.end()});
+    d.forget();
+    for (int i = 0; i < 120; ++i) {
+      d.request(0);
+      while (!d.out.empty()) d.settle(Sent(d.out.front()), Outcome::cancelled, true);  // teaches nothing
+    }
+    std::size_t good = 0, drowned = 0;
+    for (int h = 12; h < 20; ++h) (h % 2 ? drowned : good) += d.sentTo(d.host(h));
+    EXPECT_GT(good, 3 * drowned) << "after outcome " << static_cast<int>(loss);
+  }
+}
+
+// One answer in four takes for ever. By the mean of all the usual time followed them, and a second copy of
+// what hangs came too late to help.
+TEST(Pace, TheUsualTimeIsThatOfMostAnswers) {
+  Settings s = makeSettings();
+  s.parallelTries = true;
+  Driver d(s, 10);
+  for (int i = 0; i < 600; ++i) {
+    d.request(1);
+    d.request(0);
+    d.advance(milliseconds(20), milliseconds(20));
+    for (std::size_t k = 0; k < d.out.size();) {
+      const Sent o = d.out[k];
+      if (d.now - o.at >= milliseconds(o.request / 2 % 4 == 0 ? 900 : 40)) d.serve(o);
+      else ++k;
+    }
+  }
+  while (!d.out.empty()) d.serve(Sent(d.out.front()));
+  d.warmUp(0, 10, milliseconds(40));  // earns the resend that a copy takes
+  d.forget();
+  d.request(0);
+  d.advance(milliseconds(250), milliseconds(5));
+  EXPECT_EQ(d.sent.size(), 2u);
+}
+
 // By an unweighted order of keys every host gets the same part of them; each of many gateways holds next to
 // nothing anywhere, so none of them sees that the small hosts drown.
 TEST(WarmKeys, SmallHostsOfALargePoolGetFewerKeys) {
