Bound the in-flight maximum by usual times, so that crowded hosts do not jam

Each gateway held 2.4 to 4 requests of an in-flight maximum of 2 to 4; 100 gateways together let 10 to 15 wait at a server. After that 3,000 to 5,000 retries a second are refused, and the jam stays.

Checked: the maximum's inputs, twice a second from every gateway. Errors were not it (error overload 0.0 to 0.1 when the jam began).

At fault: inflightMax(). It allowed a mean time of 0.45 of the aim, five to seven usual times here, by all gateways together; and a floor of four a listed host, which at sixty hosts binds first and counts a cold host like a warm one. Now at most three usual times, a floor of two a host, cold hosts by their part.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -41,7 +41,10 @@
 
 // In-flight overload. By Little's law the mean time in flight is in-flight / rate, so the pool carries
 // `rate x aim` at most if answers are to be in time.
-constexpr double kMaxOfAim = 0.45;          // in-flight maximum: mean time at this share of the aim
+constexpr double kMaxOfAim = 0.45;  // in-flight maximum: mean time at this share of the aim
+// Danger: where the aim is many usual times long, requests that wait for most of it crowd the hosts until
+// they slow down, and then stay slow. So long a queue gains nothing.
+constexpr double kMaxNorms = 3;             // and at this many usual times
 constexpr double kInflightThreshold = 0.5;  // share of that maximum below which nothing is cut
 constexpr double kHeldGain = 0.05;          // per arrival: in-flight over the last twenty arrivals
 constexpr double kHeldSweep = 0.5;          // per sweep
@@ -51,9 +54,9 @@
 constexpr double kThinEarly = 0.1;   // its beginning earlier
 constexpr double kFirstPerHost = 6;  // maximum assumed for a host before anything was measured
 // Danger: after a burst that crowds the hosts for long, nearly all is refused, hosts stand idle, and a
-// maximum that follows the few answers never grows back. So much may be held a host, by all gateways: a few
-// cores' work.
-constexpr double kFloorPerHost = 4;
+// maximum that follows the few answers never grows back. So much may be held a host, by all gateways: a
+// core's work and as much again.
+constexpr double kFloorPerHost = 2;
 // Danger: hosts once driven over stay slow long after, and "full" is the first that one hears of it.
 constexpr double kFullEase = 4;        // times the share of "full" answers is taken off the maximum,
 constexpr double kFullEaseMost = 0.5;  // up to a half, and forgotten in half a second
@@ -365,12 +368,15 @@
   double evidence() const { return std::clamp(askedRate / kSteadyRate, 0.05, 1.0); }
 
   double inflightMax() const {
-    const double count = static_cast<double>(std::max<std::size_t>(listed.size(), 1));
+    double warm = 0;  // hosts, a cold one by its part
+    for (HostId id : listed) warm += warmth(hosts[id]);
     const double ease = 1 - std::min(kFullEase * fullSeen / outcomeSeen, kFullEaseMost);
     // Before anything was measured (own start in an overload) and after a lull, per-host guesses stand in.
     const double first = kFirstPerHost / set.groupSize, floor = kFloorPerHost / set.groupSize;
     const double least = now - started < 10 * kSweep ? first : std::max(floor, calmHeld);
-    return ease * std::max(fastRate * meanAim * kMaxOfAim, least * count);
+    double time = meanAim * kMaxOfAim;
+    if (norm > 0) time = std::min(time, kMaxNorms * norm);
+    return ease * std::max(fastRate * time, least * std::max(warm, 1.0));
   }
 
   double heldNow() const {
