--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -6,7 +6,6 @@
 // Read on in this order: constants, host health, score, cutoff, cold start, pick, attempts, turns,
 // discovery, timers. Plain state types and pure helpers: state.hpp.
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <deque>
 #include <queue>
@@ -80,18 +79,11 @@
 constexpr double kShareBack = 1.1;             // and its way back
 constexpr double kShareLeast = 0.05;           // a trickle, or it would never be known better
 constexpr double kLocalLean = 2;               // own zone in the draw: yields to a host 1.4 times as fast
-// Danger: something on the way may drop idle connections unseen, and what is sent on one is lost without a
-// word. Losses are counted by how long the connection lay idle, in steps that double from here on;
-constexpr Duration kIdleStep = milliseconds(250);
-constexpr std::size_t kIdleSteps = 8;
-constexpr double kLostGain = 0.2;    // per attempt: over the last five of its step
-constexpr double kLostFade = 0.005;  // per sweep: tried again after some twenty seconds
-constexpr double kLostStale = 0.3;   // lost so often, and over the share lost on fresh ones, it is given back
-constexpr std::size_t kWarmCandidates = 3;  // hosts that share the warmth of one key at least,
-constexpr double kKeySpread = 2;            // hosts for a key, times those that its part of the traffic fills
-constexpr double kFailGain = 0.12;          // per outcome: five failures on end make one half
-constexpr double kFailEject = 0.45;         // failure share that ejects,
-constexpr double kFailPeers = 2.5;  // if it is also this many times that of the better quarter of the pool
+constexpr std::size_t kWarmCandidates = 3;     // hosts that share the warmth of one key at least,
+constexpr double kKeySpread = 2;     // hosts for a key, times those that its part of the traffic fills
+constexpr double kFailGain = 0.12;   // per outcome: five failures on end make one half
+constexpr double kFailEject = 0.45;  // failure share that ejects,
+constexpr double kFailPeers = 2.5;   // if it is also this many times that of the better quarter of the pool
 // Danger: a host may fail or swallow one class and serve the others; by the mean of all it looks well.
 constexpr double kClassGain = 0.25;   // per outcome of the class at the host: three on end make a half
 constexpr double kClassPeers = 0.02;  // per outcome of the class anywhere: what its peers do, over fifty
@@ -150,7 +142,7 @@
   double meanAim = 0, meanWork = 0;                       // seconds over the recent arrivals: aim, usual time
   double medianPace = 1, medianCrowd = 1, peerFails = 0, norm = 0;
   double retryTokens = kRetrySaved;
-  std::array<double, kIdleSteps> idleLost{};  // share of attempts lost, by idle time of the connection
+  IdleLosses idleLosses;
   bool asking = false, answered = false;
   Time askedAt{}, askAgain{};
   int askFailures = 0;
@@ -411,7 +403,7 @@
     for (const ClassState& c : classes)
       if (c.norm > 0) sum += c.norm, seen += 1;
     norm = seen > 0 ? sum / seen : 0;
-    for (double& l : idleLost) l *= 1 - kLostFade;
+    idleLosses.fade();
     levels.fade(kSlowGain);
     std::erase_if(turns, [&](const auto& t) { return t.second.queue.empty() && now >= t.second.restUntil; });
     // Danger: with few arrivals a past burst would linger.
@@ -495,18 +487,10 @@
                           static_cast<std::uint32_t>(h.lines) * set.streamsPerConnection;
   }
   std::size_t idleStep(const Host& h) const {
-    std::size_t step = 0;
-    if (!free(h) || h.inflight > 0) return step;
-    for (Duration t = kIdleStep; step + 1 < kIdleSteps && now - h.used >= t; t *= 2) ++step;
-    return step;
+    return !free(h) || h.inflight > 0 ? 0 : IdleLosses::stepOf(now - h.used);
   }
-  bool mayDial(const Host& h) const { return now >= h.dialAfter || (free(h) && !stale(idleStep(h))); }
-  bool stale(std::size_t step) const { return step > 0 && idleLost[step] > kLostStale + idleLost[0]; }
-  void noteIdle(std::size_t step, Outcome o) {  // a longer wait is no safer, a shorter one no worse
-    const bool gone = o == Outcome::timeout || o == Outcome::reset;
-    if (!gone && o != Outcome::served && o != Outcome::error && o != Outcome::full) return;
-    for (std::size_t i = gone ? step : 0; i < (gone && step > 0 ? kIdleSteps : step + 1); ++i)
-      idleLost[i] += kLostGain * ((gone ? 1 : 0) - idleLost[i]);
+  bool mayDial(const Host& h) const {
+    return now >= h.dialAfter || (free(h) && !idleLosses.stale(idleStep(h)));
   }
 
   bool allowed(const Open& r, const Host& h) const {  // the rules on placement and repeats
@@ -704,7 +688,7 @@
     Host& h = hosts[id];
     if (isCold(h)) h.coldTokens -= 1;
     std::size_t age = idleStep(h);
-    if (stale(age)) {
+    if (idleLosses.stale(age)) {
       emit(ActionKind::close, 0, 0, id);
       h.lines = 0;
       age = 0;
@@ -794,7 +778,7 @@
     judge(h, r, a);
     h.used = now;
     if (t.dialled && a.outcome == Outcome::served) h.dialFails = 0;
-    noteIdle(t.age, a.outcome);
+    idleLosses.note(t.age, a.outcome);
     const bool unsure =
         a.outcome == Outcome::timeout || a.outcome == Outcome::reset || a.outcome == Outcome::cancelled;
     if (unsure && inTurn(r)) turns[r.key].restUntil = now + set.keyRest;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -81,7 +81,8 @@
   HostId host = kNone;
   Time at{};
   bool out = false, mayHaveRun = false, cancelled = false, dialled = false;
-  std::size_t age = 0;  // of the connection used: how long it lay idle, as a step of Lost; 0 = fresh or new
+  std::size_t age =
+      0;  // of the connection used: how long it lay idle, as a step of IdleLosses; 0 = fresh or new
 };
 
 struct Open {
@@ -150,6 +151,36 @@
   Time restUntil{};
 };
 
+// Share of attempts lost, by how long the connection used had lain idle, in steps that double. Danger:
+// something on the way may drop idle connections unseen, and what is sent on one is lost without a word.
+class IdleLosses {
+ public:
+  static std::size_t stepOf(Duration idle) {  // 0 = as good as fresh
+    std::size_t step = 0;
+    for (Duration t = kFirst; step + 1 < kSteps && idle >= t; t *= 2) ++step;
+    return step;
+  }
+  // Lost so often, and more often than on fresh ones: it is given back.
+  bool stale(std::size_t step) const { return step > 0 && lost_[step] > kStale + lost_[0]; }
+  void note(std::size_t step, Outcome o) {  // a longer wait is no safer, a shorter one no worse
+    const bool gone = o == Outcome::timeout || o == Outcome::reset;
+    if (!gone && o != Outcome::served && o != Outcome::error && o != Outcome::full) return;
+    for (std::size_t i = gone ? step : 0; i < (gone && step > 0 ? kSteps : step + 1); ++i)
+      lost_[i] += kGain * ((gone ? 1 : 0) - lost_[i]);
+  }
+  void fade() {
+    for (double& l : lost_) l *= 1 - kFade;
+  }
+
+ private:
+  static constexpr Duration kFirst = std::chrono::milliseconds(250);
+  static constexpr std::size_t kSteps = 8;
+  static constexpr double kGain = 0.2;    // per attempt: over the last five of its step
+  static constexpr double kFade = 0.005;  // per sweep: tried again after some twenty seconds
+  static constexpr double kStale = 0.3;
+  std::array<double, kSteps> lost_{};
+};
+
 // Each key's part of the recent traffic.
 class RecentKeys {
  public:
