--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -4,6 +4,9 @@
 #include <fstream>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <type_traits>
+
+#include "net/json_number.hpp"
 
 namespace cairnjunction {
 namespace {
@@ -11,17 +14,24 @@
 using nlohmann::json;
 using ochrehill::Duration;
 
+// What no setting reaches; far below where sums of the clock or of worths would overflow.
+constexpr std::int64_t kLongestNs = std::int64_t{366} * 24 * 3600 * 1000000000;
+constexpr std::int64_t kMostDescriptors = std::int64_t{1} << 30;
+constexpr double kMostNumber = 1e9;
+
+// Leaves the default where the value is absent or null.
 template <class T>
 void read(const json& object, const char* name, T& into) {
   const auto it = object.find(name);
   if (it == object.end() || it->is_null()) return;
   try {
-    if constexpr (std::is_same_v<T, Duration>) into = Duration(it->get<std::int64_t>());
-    else if constexpr (std::is_same_v<T, std::uint32_t>) {
-      const auto n = it->get<std::int64_t>();
-      if (n < 0 || n > std::numeric_limits<std::uint32_t>::max()) throw BadConfig("out of range");
-      into = static_cast<std::uint32_t>(n);
-    } else into = it->get<T>();
+    if constexpr (std::is_same_v<T, Duration>) into = Duration(wholeNumber(*it, kLongestNs));
+    else if constexpr (std::is_same_v<T, std::uint32_t>)
+      into = static_cast<std::uint32_t>(wholeNumber(*it, std::numeric_limits<std::uint32_t>::max()));
+    else if constexpr (std::is_same_v<T, std::size_t>)
+      into = static_cast<std::size_t>(wholeNumber(*it, kMostDescriptors));
+    else if constexpr (std::is_same_v<T, double>) into = realNumber(*it, kMostNumber);
+    else into = it->get<T>();
   } catch (const std::exception& bad) {
     throw BadConfig(std::string(name) + ": " + bad.what());
   }
@@ -30,11 +40,19 @@
 const json& part(const json& object, const char* name) {
   static const json none = json::object();
   const auto it = object.find(name);
-  if (it == object.end()) return none;
+  if (it == object.end() || it->is_null()) return none;
   if (!it->is_object()) throw BadConfig(std::string(name) + " is no object");
   return *it;
 }
 
+// Null where the list is absent.
+const json* list(const json& object, const char* name) {
+  const auto it = object.find(name);
+  if (it == object.end() || it->is_null()) return nullptr;
+  if (!it->is_array()) throw BadConfig(std::string(name) + " is no list");
+  return &*it;
+}
+
 ochrehill::ClassSettings readClass(const json& grade) {
   if (!grade.is_object()) throw BadConfig("grades: an entry is no object");
   ochrehill::ClassSettings c;
@@ -93,11 +111,12 @@
   read(rules, "fallMultiple", s.fallMultiple);
   read(rules, "fallNs", s.fallWindow);
   read(rules, "keyRestNs", s.keyRest);
-  const auto grades = settings.find("grades");
-  if (grades == settings.end() || !grades->is_array()) throw BadConfig("grades: missing or no list");
+  const json* grades = list(settings, "grades");
+  if (!grades) throw BadConfig("grades: missing");
   for (const json& grade : *grades) s.classes.push_back(readClass(grade));
-  if (const auto tenants = settings.find("tenants"); tenants != settings.end() && tenants->is_array())
+  if (const json* tenants = list(settings, "tenants"))
     for (const json& tenant : *tenants) {
+      if (!tenant.is_object()) throw BadConfig("tenants: an entry is no object");
       ochrehill::TenantSettings t;
       read(tenant, "name", t.name);
       read(tenant, "quotaRps", t.quotaPerSecond);
@@ -114,6 +133,17 @@
   return seed;
 }
 
+// The platform sets the limits on cores and memory; here they only have to make sense.
+void readLimits(const json& limits, Config& config) {
+  read(limits, "sockets", config.sockets);
+  if (config.sockets < 64) throw BadConfig("sockets: at least 64 are needed");
+  double cores = 1, megabytes = 1;
+  read(limits, "cores", cores);
+  read(limits, "memory_mb", megabytes);
+  if (cores <= 0) throw BadConfig("cores: must be above 0");
+  if (megabytes <= 0) throw BadConfig("memory_mb: must be above 0");
+}
+
 // The variable goes before the file's entry.
 std::string told(const json& config, const char* name, const char* variable, const Environment& environment) {
   std::string text;
@@ -145,11 +175,11 @@
   std::string seed;
   read(json, "seed", seed);
   if (!seed.empty()) config.module.seed = readSeed(seed);
-  read(part(json, "limits"), "sockets", config.sockets);
-  if (config.sockets < 64) throw BadConfig("sockets: at least 64 are needed");
+  readLimits(part(json, "limits"), config);
   config.connectTimeout = std::chrono::milliseconds(250);
   read(part(part(json, "settings"), "ceilings"), "connectTimeoutNs", config.connectTimeout);
-  if (json.contains("known")) try {
+  if (config.connectTimeout <= Duration{}) throw BadConfig("connectTimeoutNs: must be above 0");
+  if (json.contains("known") && !json.at("known").is_null()) try {
       config.known = parseHostList(json.at("known"));
     } catch (const std::invalid_argument& bad) {
       throw BadConfig(std::string("known: ") + bad.what());
--- a/src/net/host_list.cpp
+++ b/src/net/host_list.cpp
@@ -4,6 +4,9 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <unordered_set>
+
+#include "net/json_number.hpp"
 
 namespace cairnjunction {
 
@@ -21,29 +24,53 @@
   return {address, port};
 }
 
+namespace {
+
+constexpr std::int64_t kLastMs = 253402300799999;  // the year 9999: past it the clock's sums overflow
+
+// Absent: `none`.
+std::int64_t whole(const nlohmann::json& object, const char* name, std::int64_t none, std::int64_t most) {
+  const auto it = object.find(name);
+  return it == object.end() ? none : wholeNumber(*it, most);
+}
+
+ListedHost parseHost(const nlohmann::json& target) {
+  ListedHost host;
+  host.uid = target.at("uid").get<std::string>();
+  if (host.uid.empty()) throw std::invalid_argument("a host has no uid");
+  const auto state = target.at("state").get<std::string>();
+  if (state == "SERVING") host.state = HostState::serving;
+  else if (state == "DRAINING") host.state = HostState::draining;
+  else if (state == "DELETED") host.state = HostState::gone;
+  else throw std::invalid_argument("unknown state '" + state + "'");
+  // One that is gone needs no address.
+  if (host.state != HostState::gone || target.contains("endpoint")) {
+    host.endpoint = parseEndpoint(target.at("endpoint").get<std::string>());
+    if (host.endpoint.port() == 0) throw std::invalid_argument("host " + host.uid + " has no port");
+  }
+  host.zone = target.value("az", std::string());
+  host.kind = target.value("model", std::string());
+  host.cell = whole(target, "pod_group", 0, INT64_MAX);
+  if (target.contains("capacity_hint")) host.weight = realNumber(target["capacity_hint"], 1e9);
+  host.bootMs = whole(target, "boot_ms", 0, kLastMs);
+  return host;
+}
+
+}  // namespace
+
 HostList parseHostList(const nlohmann::json& json) {
   try {
     HostList list;
-    list.version = json.at("rev").get<std::int64_t>();
+    list.version = wholeNumber(json.at("rev"), INT64_MAX);
     list.full = json.value("all", false);
+    // Danger: what is no list would pass for an empty one, and an empty whole list drops all hosts.
+    if (!json.at("targets").is_array()) throw std::invalid_argument("targets is no list");
+    std::unordered_set<std::string> uids;
     for (const auto& target : json.at("targets")) {
-      ListedHost host;
-      host.uid = target.at("uid").get<std::string>();
-      if (host.uid.empty()) throw std::invalid_argument("a host has no uid");
-      const auto state = target.at("state").get<std::string>();
-      if (state == "SERVING") host.state = HostState::serving;
-      else if (state == "DRAINING") host.state = HostState::draining;
-      else if (state == "DELETED") host.state = HostState::gone;
-      else throw std::invalid_argument("unknown state '" + state + "'");
-      // One that is gone needs no address.
-      if (host.state != HostState::gone || target.contains("endpoint"))
-        host.endpoint = parseEndpoint(target.at("endpoint").get<std::string>());
-      host.zone = target.value("az", std::string());
-      host.kind = target.value("model", std::string());
-      host.cell = target.value("pod_group", std::int64_t{0});
-      host.weight = target.value("capacity_hint", 1.0);
-      host.bootMs = target.value("boot_ms", std::int64_t{0});
-      list.hosts.push_back(std::move(host));
+      list.hosts.push_back(parseHost(target));
+      // Of changes the later one holds.
+      if (list.full && !uids.insert(list.hosts.back().uid).second)
+        throw std::invalid_argument("host " + list.hosts.back().uid + " is listed twice");
     }
     return list;
   } catch (const nlohmann::json::exception& bad) {
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -14,6 +14,7 @@
 
 void validate(const Settings& s) {
   require(s.groupSize >= 1, "groupSize must be at least 1");
+  require(s.number < s.groupSize, "number must be below groupSize");
   require(!s.classes.empty(), "at least one class is needed");
   require(s.maxAttempts >= 1, "maxAttempts must be at least 1");
   require(s.streamsPerConnection >= 1, "streamsPerConnection must be at least 1");
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -525,6 +525,36 @@
   EXPECT_EQ(ask(text("read")).result_int(), 200u);
 }
 
+// "targets": null passed for an empty whole list, and all hosts were dropped.
+TEST_F(GatewayTest, ADiscoveryAnswerThatIsNoListFailsAndTheHeldListStays) {
+  twoHosts(always(answerText(200, "", "ok")));
+  const json twice = {target("s-9", loopback(9)), target("s-9", loopback(9))};
+  const std::string bodies[] = {
+      json{{"rev", 5}, {"all", true}, {"targets", nullptr}}.dump(),
+      json{{"rev", 5}, {"all", true}, {"targets", json::object()}}.dump(),
+      json{{"rev", -5}, {"all", true}, {"targets", json::array()}}.dump(),
+      json{{"rev", 5}, {"all", true}, {"targets", twice}}.dump(),
+      std::string(5 << 20, ' '),
+  };
+  for (const std::string& body : bodies) {
+    ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+    discovery.held[0]->reply(answerText(200, "", body));
+    discovery.held.clear();
+    ASSERT_TRUE(until([&] { return discovery.held.size() == 1; })) << "the module asks anew";
+    EXPECT_EQ(ask(text("read")).result_int(), 200u) << body.substr(0, 80);
+    EXPECT_NE(discovery.targets.back().find("since=1&"), std::string::npos) << discovery.targets.back();
+  }
+}
+
+TEST_F(GatewayTest, AnEmptyWholeListMeansNoHostAndIsAnsweredAtOnce) {
+  twoHosts(always(answerText(200, "", "ok")));
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  discovery.push({{"all", true}, {"targets", json::array()}});
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  for (const char* kind : {"read", "write", "put"}) EXPECT_EQ(ask(text(kind)).result_int(), 503u) << kind;
+  EXPECT_TRUE(reached.empty());
+}
+
 TEST_F(GatewayTest, ASilentWatchCountsAsFailed) {
   waits.discovery.answer = std::chrono::milliseconds(20);
   discovery.peer.script = [&](PeerConnection& c) {
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -30,7 +30,15 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
-TEST(Program, BadConfigurationEndsIt) { EXPECT_EQ(exitCode(run({"GW_CONFIG=/nonexistent"})), 2); }
+TEST(Program, BadConfigurationEndsIt) {
+  EXPECT_EQ(exitCode(run({"GW_CONFIG=/nonexistent"})), 2);
+  const std::string path = ::testing::TempDir() + "bad_config_" + std::to_string(getpid()) + ".json";
+  json config = configJson();
+  config["limits"]["sockets"] = -1;
+  std::ofstream(path) << config;
+  EXPECT_EQ(exitCode(run({"GW_CONFIG=" + path})), 2);
+  std::remove(path.c_str());
+}
 
 TEST(Program, SigtermEndsItWithZero) {
   asio::io_context io;
@@ -86,8 +94,13 @@
   write(config.dump());
   const pid_t pid = run({"GW_CONFIG=" + path, "GW_DISCOVERY=" + textOf(before.peer.endpoint)});
   ASSERT_TRUE(until([&] { return before.held.size() == 1; }));
-  write("{");
-  kill(pid, SIGHUP);  // survived; the next one comes when the file is whole
+  json wrong = config;
+  wrong["limits"]["sockets"] = -1;
+  wrong["discovery"] = "127.0.0.1:1";
+  for (const std::string& text : {std::string("{"), wrong.dump()}) {
+    write(text);
+    kill(pid, SIGHUP);  // survived; the next one comes when the file is whole
+  }
   config["discovery"] = textOf(after.peer.endpoint);
   write(config.dump());
   kill(pid, SIGHUP);
