--- a/include/ochrehill/ochrehill.hpp
+++ b/include/ochrehill/ochrehill.hpp
@@ -130,6 +130,10 @@
   std::string text;           // log
 };
 
+struct HostCounts {
+  std::size_t listed = 0, avoided = 0;  // avoided: listed, and sent nothing now if others can be
+};
+
 class Balancer {
  public:
   // Throws std::invalid_argument that says which setting is wrong.
@@ -150,6 +154,7 @@
 
   HostId findHost(std::string_view address) const;  // kNone if no list has named it
   const std::string& address(HostId host) const;
+  HostCounts hostCounts() const;
   double cutoff() const;             // 0 to 100: scores below it are refused now
   std::size_t openRequests() const;  // requests and attempts not yet over
 
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -496,6 +496,11 @@
     return now >= h.dialAfter || (free(h) && !idleLosses.stale(idleStep(h)));
   }
 
+  bool avoided(const Host& h) const {  // while others are ready
+    return now < h.restUntil || !mayDial(h) || h.silent || h.health == Health::ejected ||
+           (h.health == Health::trial && h.inflight > 0);
+  }
+
   bool allowed(const Open& r, const Host& h) const {  // the rules on placement and repeats
     const ClassSettings& c = classes[r.cls].set;
     if (!h.open[r.cls]) return false;
@@ -517,9 +522,7 @@
       if (found && ready.size() >= width) break;
       Host& h = hosts[id];
       if (!relaxed) {
-        if (now < h.restUntil || !mayDial(h) || h.silent || h.health == Health::ejected ||
-            (h.health == Health::trial && h.inflight > 0))
-          continue;
+        if (avoided(h)) continue;
         bool tried = false;
         for (std::uint32_t i = 0; i < r.count; ++i) tried |= r.tries[i].host == id;
         if (tried) continue;
@@ -975,6 +978,15 @@
   return it == impl_->hostIds.end() ? kNone : it->second;
 }
 const std::string& Balancer::address(HostId host) const { return impl_->hosts.at(host).entry.address; }
+HostCounts Balancer::hostCounts() const {
+  HostCounts counts;
+  for (const Host& h : impl_->hosts) {
+    if (h.entry.phase == Phase::out) continue;
+    ++counts.listed;
+    if (h.entry.phase == Phase::draining || impl_->avoided(h)) ++counts.avoided;
+  }
+  return counts;
+}
 double Balancer::cutoff() const { return impl_->cut; }
 std::size_t Balancer::openRequests() const { return impl_->slotOf.size(); }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -26,8 +26,10 @@
 void reload(cairnjunction::Gateway& gateway) {
   try {
     gateway.moveDiscovery(cairnjunction::readConfig(reloadedVariable).discovery);
+    gateway.reconfigured(true);
     std::cerr << "configuration reloaded\n";
   } catch (const cairnjunction::BadConfig& bad) {
+    gateway.reconfigured(false);
     std::cerr << "configuration not reloaded: " << bad.what() << '\n';
   }
 }
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -34,9 +34,10 @@
 
   void start() { read(); }
 
-  void answer(HttpResponse response) {
+  void answer(HttpResponse response, Answered answered) {
     state_ = State::writing;
     exchange_ = 0;
+    answered_ = std::move(answered);
     response_ = std::move(response);
     response_.version(11);
     const bool keep = keepAlive_ && response_.keep_alive() && !server_->last_;
@@ -45,6 +46,7 @@
     since_ = Clock::now();
     http::async_write(socket_, response_, [self = shared_from_this(), keep](error_code ec, std::size_t) {
       if (self->state_ != State::writing) return;
+      self->over(!ec);
       if (ec || self->left_) return self->close();
       self->response_ = {};
       if (keep) self->next();
@@ -57,6 +59,7 @@
     state_ = State::closed;
     error_code ignored;
     socket_.close(ignored);
+    over(false);
     server_->ended(shared_from_this());
   }
 
@@ -82,6 +85,10 @@
  private:
   enum class State { reading, waiting, writing, lingering, closed };
 
+  void over(bool whole) {  // the answer
+    if (const Answered answered = std::exchange(answered_, nullptr)) answered(whole);
+  }
+
   void renew() {
     parser_.emplace();
     parser_->eager(true);
@@ -156,7 +163,7 @@
     keepAlive_ = false;
     HttpResponse response;
     response.result(large ? http::status::payload_too_large : http::status::bad_request);
-    answer(std::move(response));
+    answer(std::move(response), nullptr);
     if (!receiving_) discard();
   }
 
@@ -187,6 +194,7 @@
   boost::beast::flat_buffer buffer_{kHeaderLimit + kBodyLimit};
   std::optional<http::request_parser<http::string_body>> parser_;
   HttpResponse response_;
+  Answered answered_;
   State state_ = State::reading;
   ExchangeId exchange_ = 0;
   const Clock::time_point connected_ = Clock::now();
@@ -195,17 +203,26 @@
   bool first_ = true, begun_ = false, receiving_ = false, keepAlive_ = false, left_ = false;
 };
 
-ClientServer::ClientServer(asio::io_context& io, const tcp::endpoint& listen, Limits limits,
-                           Callbacks callbacks)
-    : io_(io),
-      acceptor_(io, listen, true),
-      limits_(limits),
-      callbacks_(std::move(callbacks)),
-      sweeper_(io),
-      again_(io) {
+ClientServer::ClientServer(asio::io_context& io, Limits limits, Callbacks callbacks)
+    : io_(io), acceptor_(io), limits_(limits), callbacks_(std::move(callbacks)), sweeper_(io), again_(io) {
+  sweep();
+}
+
+void ClientServer::listen(const tcp::endpoint& at, bool shared) {
+  acceptor_.open(at.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+  if (shared) acceptor_.set_option(ReusePort(true));
+  acceptor_.bind(at);
+  acceptor_.listen();
   acceptor_.non_blocking(true);
   accept();
-  sweep();
+}
+
+void ClientServer::allow(std::size_t connections) {
+  limits_.connections = connections;
+  while (sessions_.size() > limits_.connections && closeOldestIdle()) {
+  }
 }
 
 ClientServer::~ClientServer() {
@@ -216,12 +233,12 @@
   for (const auto& session : all) session->close();
 }
 
-void ClientServer::answer(ExchangeId exchange, HttpResponse response) {
+void ClientServer::answer(ExchangeId exchange, HttpResponse response, Answered answered) {
   const auto it = waiting_.find(exchange);
   if (it == waiting_.end()) return;
   const auto session = std::move(it->second);
   waiting_.erase(it);
-  session->answer(std::move(response));
+  session->answer(std::move(response), std::move(answered));
 }
 
 void ClientServer::accept() {
@@ -282,7 +299,7 @@
 
 void ClientServer::stopAccepting() {
   // Danger: what waits to be accepted may hold requests already; a closed listener would reset them.
-  takeWaiting();
+  if (acceptor_.is_open()) takeWaiting();
   error_code ignored;
   acceptor_.close(ignored);
   again_.cancel();
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -37,15 +37,20 @@
     std::function<void(ExchangeId)> gone;        // its client left; no answer is wanted
   };
 
-  // Listens at once. Throws boost::system::system_error.
-  ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Limits limits,
-               Callbacks callbacks);
+  using Answered = std::function<void(bool whole)>;  // the answer left whole, or its client before that
+
+  ClientServer(boost::asio::io_context& io, Limits limits, Callbacks callbacks);
   ~ClientServer();
   ClientServer(const ClientServer&) = delete;
   ClientServer& operator=(const ClientServer&) = delete;
 
+  // Throws boost::system::system_error. `shared`: another process may listen there too.
+  void listen(const boost::asio::ip::tcp::endpoint& at, bool shared);
   boost::asio::ip::tcp::endpoint listening() const { return acceptor_.local_endpoint(); }
-  void answer(ExchangeId exchange, HttpResponse response);
+  bool takesClients() const { return acceptor_.is_open(); }
+  int listener() { return acceptor_.native_handle(); }
+  void allow(std::size_t connections);  // fewer than are open: idle ones go
+  void answer(ExchangeId exchange, HttpResponse response, Answered answered);
   void lastAnswers();    // from now on every answer closes its connection
   void stopAccepting();  // takes what waits to be accepted, then closes the listener and idle connections
   std::size_t connections() const { return sessions_.size(); }
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -152,10 +152,10 @@
   return text;
 }
 
-tcp::endpoint toldEndpoint(const json& config, const char* name, const char* variable,
-                           const Environment& environment) {
+std::optional<tcp::endpoint> endpointIfTold(const json& config, const char* name, const char* variable,
+                                            const Environment& environment) {
   const std::string text = told(config, name, variable, environment);
-  if (text.empty()) throw BadConfig(std::string(variable) + " is not set");
+  if (text.empty()) return std::nullopt;
   try {
     return parseEndpoint(text);
   } catch (const std::invalid_argument& bad) {
@@ -163,6 +163,13 @@
   }
 }
 
+tcp::endpoint toldEndpoint(const json& config, const char* name, const char* variable,
+                           const Environment& environment) {
+  const auto endpoint = endpointIfTold(config, name, variable, environment);
+  if (!endpoint) throw BadConfig(std::string(variable) + " is not set");
+  return *endpoint;
+}
+
 }  // namespace
 
 Config parseConfig(const json& json, const Environment& environment) {
@@ -171,6 +178,8 @@
   config.name = told(json, "name", "GW_NAME", environment);
   config.listen = toldEndpoint(json, "listen", "GW_LISTEN", environment);
   config.discovery = toldEndpoint(json, "discovery", "GW_DISCOVERY", environment);
+  config.management = endpointIfTold(json, "management", "GW_MANAGEMENT", environment);
+  if (const char* tmp = environment("TMPDIR"); tmp && *tmp) config.tmp = tmp;
   config.module = readSettings(part(json, "settings"));
   std::string seed;
   read(json, "seed", seed);
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -25,10 +25,12 @@
 struct Config {
   std::string name;
   tcp::endpoint listen, discovery;
-  std::size_t sockets = 1024;            // file descriptors that the process may hold
-  ochrehill::Duration connectTimeout{};  // for a new connection to a host
-  ochrehill::Settings module;            // for the decisions
-  std::optional<HostList> known;         // hosts as last had; may be old
+  std::optional<tcp::endpoint> management;  // operators' address; none: that part is off
+  std::string tmp = "/tmp";                 // the one folder that may be written to
+  std::size_t sockets = 1024;               // file descriptors that the process may hold
+  ochrehill::Duration connectTimeout{};     // for a new connection to a host
+  ochrehill::Settings module;               // for the decisions
+  std::optional<HostList> known;            // hosts as last had; may be old
 };
 
 using Environment = std::function<const char*(const char*)>;  // as getenv
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -16,6 +16,7 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::beast::string_view;
+using tcp = asio::ip::tcp;
 using boost::system::error_code;
 using ochrehill::Action;
 using ochrehill::ActionKind;
@@ -33,6 +34,10 @@
 constexpr Time kClockStart = std::chrono::hours(24);
 // Of the descriptors: listener, discovery, event loop, standard streams and what the libraries open.
 constexpr std::size_t kOwnDescriptors = 32;
+// Beside another process: the first look at discovery is waited for so long, and so long it takes that
+// process at least to see us and make room.
+constexpr auto kOpenLast = std::chrono::milliseconds(2000);
+constexpr auto kOpenFirst = std::chrono::milliseconds(300);
 
 template <class Number>
 bool parse(string_view text, Number& number) {
@@ -113,6 +118,9 @@
       unixStart_(std::chrono::system_clock::now()),
       settings_(config.module),
       log_(std::move(log)),
+      listen_(config.listen),
+      sockets_(config.sockets),
+      clientsMost_(waits.clients.connections),
       balancer_(config.module, now()),
       hosts_(io, {shareOf(config.sockets, 2, 5), config.connectTimeout, config.module.idleClose},
              [this](AttemptEnd end) {
@@ -129,7 +137,8 @@
           waits.discovery),
       waker_(io),
       drainTimer_(io),
-      clients_(io, config.listen,
+      openTimer_(io),
+      clients_(io,
                {.connections = std::min(waits.clients.connections, shareOf(config.sockets, 3, 5)),
                 .first = waits.clients.first,
                 .slow = waits.clients.slow,
@@ -138,11 +147,35 @@
                 [this](ExchangeId exchange) { clientGone(exchange); }}) {
   for (std::size_t i = 0; i < settings_.classes.size(); ++i)
     classOf_.emplace(settings_.classes[i].name, static_cast<std::uint32_t>(i));
+  for (const ochrehill::ClassSettings& c : settings_.classes) statistics_.show(c.name);
   for (std::size_t i = 0; i < settings_.tenants.size(); ++i)
     tenantOf_.emplace(settings_.tenants[i].name, static_cast<std::uint32_t>(i));
   if (config.known) discovery_.knows(config.known->version);
   // The module asks discovery once it was given a list, an empty one too.
   told(config.known ? *config.known : HostList{0, true, {}}, ListKind::restored);
+  if (config.management) {
+    management_.emplace(
+        io, *config.management,
+        Management::Callbacks{[this] { return takesClients(); },
+                              [this] {
+                                const auto hosts = balancer_.hostCounts();
+                                return statistics_.render({hosts_.written(), hosts.listed, hosts.avoided});
+                              }});
+    if (listen_.port() != 0) try {  // a port that the kernel picks is shared with nobody
+        twin_.emplace(io, config.tmp, listen_, [this] { share(); });
+      } catch (const std::runtime_error& bad) {  // it serves alone
+        log_(bad.what());
+      }
+  }
+  if (twin_ && twin_->present()) {
+    share();
+    openTimer_.expires_after(kOpenLast);  // the first look at discovery opens it sooner
+    openTimer_.async_wait([this](error_code ec) {
+      if (!ec) open();
+    });
+  } else {
+    open();
+  }
 }
 
 Gateway::~Gateway() {
@@ -159,6 +192,25 @@
   return std::max(at, Time{});
 }
 
+std::optional<tcp::endpoint> Gateway::management() const {
+  return management_ ? std::optional(management_->listening()) : std::nullopt;
+}
+
+void Gateway::open() {
+  if (clients_.takesClients() || draining_) return;
+  clients_.listen(listen_, management_.has_value());
+  if (twin_ && twin_->present()) Twin::steerToLatest(clients_.listener());
+}
+
+// The descriptors that one process may hold are those of both.
+void Gateway::share() {
+  const std::size_t parts = twin_->present() ? 10 : 5;
+  clients_.allow(std::min(clientsMost_, shareOf(sockets_, 3, parts)));
+  hosts_.allow(shareOf(sockets_, 2, parts));
+  log_(twin_->present() ? "another process serves the address: the limits are shared"
+                        : "no other process serves the address");
+}
+
 // --- Events ---------------------------------------------------------------------------------------------
 
 void Gateway::told(const HostList& list, ListKind kind) {
@@ -184,6 +236,12 @@
     if (host.state != HostState::serving) hosts_.closeIdle(id);
   }
   ready_ = ready_ || !list.hosts.empty() || kind != ListKind::restored;
+  if (kind != ListKind::restored && !clients_.takesClients()) {
+    openTimer_.expires_at(std::min(openTimer_.expiry(), start_ + kOpenFirst));
+    openTimer_.async_wait([this](error_code ec) {
+      if (!ec) open();
+    });
+  }
   drainActions();
 }
 
@@ -192,20 +250,25 @@
   ochrehill::Request asked;
   http::status status = judgeFraming(message);
   if (status == http::status::ok && message.target() == "/up" && message.method() == http::verb::get)
-    return clients_.answer(
-        request.exchange, plain(ready_ && !draining_ ? http::status::ok : http::status::service_unavailable));
+    return clients_.answer(request.exchange,
+                           plain(takesClients() ? http::status::ok : http::status::service_unavailable),
+                           nullptr);
   if (status == http::status::ok) status = describe(message, asked);
   if (status != http::status::ok) {
     // Danger: where such a message ends is doubtful; what follows it must not pass for a request.
     HttpResponse response = plain(status);
     response.keep_alive(false);
-    return clients_.answer(request.exchange, std::move(response));
+    const std::size_t counted = statistics_.classOf(firstPart(message.target()));
+    return clients_.answer(request.exchange, std::move(response),
+                           counting(counted, Statistics::End::failure, false));
   }
   asked.id = ++lastRequest_;
   asked.left -= (Clock::now() - request.began) + kAnswerMargin;
   stripHop(request.message);
   Exchange& exchange = exchanges_[asked.id];
   exchange.client = request.exchange;
+  exchange.counted = statistics_.classOf(settings_.classes[asked.classIndex].name);
+  statistics_.taken();
   exchange.message = std::move(request.message);
   byClient_.emplace(request.exchange, asked.id);
   balancer_.onRequest(now(), asked);
@@ -252,7 +315,10 @@
   if (known == byClient_.end()) return;
   const RequestId id = known->second;
   byClient_.erase(known);
-  exchanges_.at(id).ended = true;
+  Exchange& exchange = exchanges_.at(id);
+  exchange.ended = true;
+  statistics_.answered(exchange.counted, Statistics::End::failure);
+  statistics_.ended();
   over_.push_back(id);
   balancer_.onClientGone(now(), id);
   drainActions();
@@ -267,7 +333,7 @@
   if (end.outcome == Outcome::served && !exchange.ended) {
     stripHop(end.answer);
     end.answer.erase("X-Load");
-    answer(exchange, std::move(end.answer));
+    answer(exchange, std::move(end.answer), Statistics::End::success);
   }
   ochrehill::AttemptResult result;
   result.request = end.key.request;
@@ -342,13 +408,21 @@
     std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(action.span).count());
     response.set(http::field::retry_after, text.data());
   }
-  answer(it->second, std::move(response));
+  answer(it->second, std::move(response),
+         action.kind == ActionKind::refuse ? Statistics::End::busy : Statistics::End::failure);
+}
+
+ClientServer::Answered Gateway::counting(std::size_t cls, Statistics::End end, bool taken) {
+  return [this, cls, end, taken](bool whole) {
+    statistics_.answered(cls, whole ? end : Statistics::End::failure);
+    if (taken) statistics_.ended();
+  };
 }
 
-void Gateway::answer(Exchange& exchange, HttpResponse response) {
+void Gateway::answer(Exchange& exchange, HttpResponse response, Statistics::End end) {
   exchange.ended = true;
   byClient_.erase(exchange.client);
-  clients_.answer(exchange.client, std::move(response));
+  clients_.answer(exchange.client, std::move(response), counting(exchange.counted, end, true));
 }
 
 // Only the earliest wake counts: the module asks anew at each event for the next.
@@ -370,6 +444,7 @@
   if (draining_) return;
   draining_ = true;
   drained_ = std::move(done);
+  openTimer_.cancel();
   clients_.lastAnswers();
   drainTimer_.expires_after(kAcceptOn);
   drainTimer_.async_wait([this](error_code ec) {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -15,6 +16,9 @@
 #include "net/config.hpp"
 #include "net/discovery.hpp"
 #include "net/host_pool.hpp"
+#include "net/management.hpp"
+#include "net/statistics.hpp"
+#include "net/twin.hpp"
 #include "ochrehill/ochrehill.hpp"
 
 namespace cairnjunction {
@@ -31,7 +35,8 @@
     Discovery::Waits discovery;
   };
 
-  // Listens and asks discovery at once. Throws boost::system::system_error if it can't listen.
+  // Asks discovery at once, and listens at once too unless another process serves the address: then as soon
+  // as it can take over. Throws boost::system::system_error if it can't listen.
   Gateway(boost::asio::io_context& io, const Config& config, Waits waits,
           std::function<void(std::string)> log);
   ~Gateway();
@@ -39,8 +44,10 @@
   Gateway& operator=(const Gateway&) = delete;
 
   boost::asio::ip::tcp::endpoint listening() const { return clients_.listening(); }
+  std::optional<boost::asio::ip::tcp::endpoint> management() const;
   // Discovery has a new address; the list held stays until it tells more.
   void moveDiscovery(const boost::asio::ip::tcp::endpoint& server) { discovery_.moveTo(server); }
+  void reconfigured(bool taken) { statistics_.reconfigured(taken); }  // at SIGHUP
   // Finishes what was taken, then closes all and calls `done`.
   void drain(std::function<void()> done);
 
@@ -48,8 +55,9 @@
   struct Exchange {  // a request under way
     ExchangeId client = 0;
     HttpRequest message;
-    std::uint32_t out = 0;  // attempts
-    bool ended = false;     // answered, or its client left
+    std::size_t counted = 0;  // its class in the statistics
+    std::uint32_t out = 0;    // attempts
+    bool ended = false;       // answered, or its client left
   };
 
   ochrehill::Time now() const;
@@ -65,7 +73,11 @@
   void send(const ochrehill::Action& action);
   void giveUp(const ochrehill::Action& action);
   void settle(AttemptEnd end);
-  void answer(Exchange& exchange, HttpResponse response);
+  void answer(Exchange& exchange, HttpResponse response, Statistics::End end);
+  ClientServer::Answered counting(std::size_t cls, Statistics::End end, bool taken);
+  bool takesClients() const { return ready_ && !draining_ && clients_.takesClients(); }
+  void open();
+  void share();
   void wakeAt(ochrehill::Time at);
 
   boost::asio::io_context& io_;
@@ -75,6 +87,8 @@
   std::unordered_map<std::string, std::uint32_t> classOf_, tenantOf_;
   std::unordered_map<std::string, boost::asio::ip::tcp::endpoint> endpoints_;
   std::function<void(std::string)> log_;
+  boost::asio::ip::tcp::endpoint listen_;
+  std::size_t sockets_, clientsMost_;
   ochrehill::Balancer balancer_;
   HostPool hosts_;
   Discovery discovery_;
@@ -82,11 +96,14 @@
   std::unordered_map<ExchangeId, ochrehill::RequestId> byClient_;
   std::vector<ochrehill::RequestId> over_;  // may be dropped once the actions are done
   std::deque<AttemptEnd> ends_;             // raised while actions are carried out
-  boost::asio::steady_timer waker_, drainTimer_;
+  boost::asio::steady_timer waker_, drainTimer_, openTimer_;
   ochrehill::Time wakeAt_{};
   ochrehill::RequestId lastRequest_ = 0;
   std::function<void()> drained_;
   bool carrying_ = false, ready_ = false, draining_ = false;
+  Statistics statistics_;
+  std::optional<Twin> twin_;
+  std::optional<Management> management_;
   ClientServer clients_;  // last: it may hand over requests from here on
 };
 
--- a/src/net/host_pool.cpp
+++ b/src/net/host_pool.cpp
@@ -95,6 +95,7 @@
       if (self->phase != Phase::writing) return;
       // An error here means that the last byte was not written: it never ran.
       if (ec) return self->end(Outcome::connectFailed);
+      ++self->pool->written_;
       self->read();
     });
   }
@@ -185,6 +186,12 @@
 
 HostPool::~HostPool() { stop(); }
 
+void HostPool::allow(std::size_t connections) {
+  limits_.connections = connections;
+  while (open_ > limits_.connections && closeOldestIdle()) {
+  }
+}
+
 void HostPool::stop() {
   sweeper_.cancel();
   for (auto& [key, connection] : std::exchange(busy_, {})) connection->close();
--- a/src/net/host_pool.hpp
+++ b/src/net/host_pool.hpp
@@ -57,8 +57,10 @@
   void start(AttemptKey key, ochrehill::HostId host, HttpRequest request, ochrehill::Duration limit);
   void cancel(AttemptKey key);
   void closeIdle(ochrehill::HostId host);
-  void stop();  // closes all without a word
+  void stop();                          // closes all without a word
+  void allow(std::size_t connections);  // fewer than are open: idle ones go
   std::size_t connections() const { return open_; }
+  std::uint64_t written() const { return written_; }  // attempts, up to their last byte
 
  private:
   struct Connection;
@@ -85,6 +87,7 @@
   std::vector<Host> hosts_;
   std::unordered_map<AttemptKey, std::shared_ptr<Connection>, KeyHash> busy_;
   std::size_t open_ = 0;
+  std::uint64_t written_ = 0;
   boost::asio::steady_timer sweeper_;
 };
 
--- /dev/null
+++ b/src/net/statistics.hpp
@@ -0,0 +1,44 @@
+// Counters from the start of the process, kept where a thing ends and rendered when asked for.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace cairnjunction {
+
+class Statistics {
+ public:
+  enum class End { success, busy, failure };  // as the client received it
+  static constexpr std::size_t kNoClass = SIZE_MAX;
+
+  struct Gauges {  // read from their owners when the text is rendered
+    std::uint64_t backendCalls = 0;
+    std::size_t hostsListed = 0, hostsDown = 0;
+  };
+
+  // Each class shows from here on with its counts, also once no settings name it any more.
+  void show(std::string_view name);
+  std::size_t classOf(std::string_view name) const;  // kNoClass if never shown
+
+  void taken() { ++inflight_; }
+  void ended() { --inflight_; }  // one that was taken
+  void answered(std::size_t cls, End end);
+  void reconfigured(bool taken) { ++(taken ? reconfigOk_ : reconfigFailed_); }
+
+  std::string render(const Gauges& gauges) const;  // a line app.NAME[.CLASS]=N for each
+
+ private:
+  struct Class {
+    std::string name;
+    std::uint64_t success = 0, busy = 0, failure = 0;
+  };
+  std::vector<Class> classes_;
+  std::unordered_map<std::string, std::size_t> byName_;
+  std::uint64_t inflight_ = 0, reconfigOk_ = 0, reconfigFailed_ = 0;
+};
+
+}  // namespace cairnjunction
--- /dev/null
+++ b/src/net/twin.hpp
@@ -0,0 +1,38 @@
+// The other process of an upgrade: both serve one address for a while and share its limits.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <string>
+
+namespace cairnjunction {
+
+class Twin {
+ public:
+  // Announces this process, by a locked file in `folder`, to the others that serve `address`. `changed` is
+  // called when another comes or the last goes. Throws std::runtime_error.
+  Twin(boost::asio::io_context& io, const std::string& folder, const boost::asio::ip::tcp::endpoint& address,
+       std::function<void()> changed);
+  ~Twin();
+  Twin(const Twin&) = delete;
+  Twin& operator=(const Twin&) = delete;
+
+  bool present() const { return present_; }
+
+  // Leads every new connection of the address to the listener that joined its group last.
+  static void steerToLatest(int listener);
+
+ private:
+  bool look();
+  void watch();
+
+  std::string folder_, prefix_, own_;
+  std::function<void()> changed_;
+  boost::asio::steady_timer timer_;
+  int file_ = -1;
+  bool present_ = false;
+};
+
+}  // namespace cairnjunction
--- /dev/null
+++ b/tests/management_test.cpp
@@ -0,0 +1,137 @@
+// The operators' side: the management address, its figures, and what they count.
+#include "gateway_fixture.hpp"
+
+namespace cairnjunction::testing {
+namespace {
+
+class ManagementTest : public GatewayTest {
+ protected:
+  ManagementTest() { config["management"] = "127.0.0.1:0"; }
+
+  std::shared_ptr<Client> caller() { return Client::connect(io, gateway->management().value()); }
+  Response call(const std::string& text) {
+    auto c = caller();
+    c->send(text);
+    EXPECT_TRUE(until([&] { return !c->answers.empty() && c->closedByPeer; }));
+    return c->answers.empty() ? Response{} : c->answers.front();
+  }
+  Response get(const std::string& target) { return call("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n"); }
+  // The value of one figure; -1 if it is not shown.
+  long figure(const std::string& name) {
+    const std::string text = "\n" + get("/ops/stats").body(), line = "\napp." + name + "=";
+    const auto at = text.find(line);
+    return at == std::string::npos ? -1 : std::stol(text.substr(at + line.size()));
+  }
+};
+
+TEST_F(ManagementTest, OffWithoutAnAddress) {
+  config.erase("management");
+  addHost("a", always(answerText(200, "", "")));
+  start();
+  EXPECT_FALSE(gateway->management());
+}
+
+TEST_F(ManagementTest, SaysYesWhileItTakesClients) {
+  addHost("a", always(answerText(200, "", "")));
+  start();
+  EXPECT_EQ(get("/ops/readiness").result_int(), 200u);
+  bool drained = false;
+  gateway->drain([&] { drained = true; });
+  EXPECT_EQ(get("/ops/readiness").result_int(), 503u);
+  EXPECT_TRUE(until([&] { return drained; }));
+}
+
+TEST_F(ManagementTest, OnlyTheCallsThatThePageNames) {
+  addHost("a", always(answerText(200, "", "")));
+  start();
+  EXPECT_EQ(get("/ops/other").result_int(), 404u);
+  const Response post = call("POST /ops/stats HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_EQ(post.result_int(), 405u);
+  EXPECT_EQ(post["Allow"], "GET");
+  EXPECT_EQ(call("nonsense\r\n\r\n").result_int(), 400u);
+  EXPECT_EQ(call("GET /ops/stats HTTP/1.1\r\nX: " + std::string(20000, 'x') + "\r\n\r\n").result_int(), 400u);
+  EXPECT_EQ(ask("GET /ops/stats HTTP/1.1\r\nHost: x\r\nX-Request-Id: 1\r\n\r\n").result_int(), 404u)
+      << "not served at the clients' address";
+  EXPECT_TRUE(hosts[0]->requests.empty());
+}
+
+TEST_F(ManagementTest, AnswersBesideCallersThatHoldTheirConnections) {
+  addHost("a", always(answerText(200, "", "")));
+  start();
+  std::vector<std::shared_ptr<Client>> silent;
+  for (std::size_t i = 0; i < 3 * Management::kConnections; ++i) {
+    silent.push_back(caller());
+    if (i % 2) silent.back()->send("GET /ops/st");
+    EXPECT_EQ(get("/ops/readiness").result_int(), 200u) << i;
+  }
+  EXPECT_TRUE(silent.front()->closedByPeer) << "the oldest made room";
+}
+
+TEST_F(ManagementTest, AConnectionWithNoWholeCallIsClosedInTime) {
+  addHost("a", always(answerText(200, "", "")));
+  start();
+  Management short_lived(io, loopback(), {[] { return true; }, [] { return std::string(); }},
+                         std::chrono::milliseconds(50));
+  auto c = Client::connect(io, short_lived.listening());
+  c->send("GET /ops/stats HT");
+  EXPECT_TRUE(until([&] { return c->closedByPeer; }));
+}
+
+TEST_F(ManagementTest, EveryFigureShowsFromTheStart) {
+  addHost("a", always(answerText(200, "", "")));
+  start();
+  for (const std::string cls : {"read", "write", "put"})
+    for (const std::string name : {"success.", "busy.", "failure."}) EXPECT_EQ(figure(name + cls), 0);
+  for (const std::string name : {"backend_calls", "inflight", "hosts_down", "reconfig_ok", "reconfig_failed"})
+    EXPECT_EQ(figure(name), 0) << name;
+  EXPECT_EQ(figure("hosts_listed"), 1);
+  EXPECT_EQ(get("/ops/stats")["Content-Type"].substr(0, 10), "text/plain");
+}
+
+TEST_F(ManagementTest, FiguresAreWhatThePeersSaw) {
+  addHost("a", [](PeerConnection& c, std::size_t n) {
+    if (n == 0) c.reply(answerText(200, "", "x"));
+    else if (n == 1) c.reply(answerText(500, "", ""));
+    else if (c.request.target() == "/write") c.reply(answerText(503, kNotRun, ""));
+  });
+  start();
+  EXPECT_EQ(ask(text("read")).result_int(), 200u);
+  EXPECT_EQ(ask(text("write")).result_int(), 502u);
+  EXPECT_EQ(ask(text("write")).result_int(), 503u);  // full, and there is no other host
+  EXPECT_EQ(ask("GET /put HTTP/1.1\r\nHost: x\r\nX-Request-Id: 1\r\n\r\n").result_int(), 405u);
+  EXPECT_EQ(ask("GET /none HTTP/1.1\r\nHost: x\r\nX-Request-Id: 1\r\n\r\n").result_int(), 404u);
+  EXPECT_EQ(figure("success.read"), 1);
+  EXPECT_EQ(figure("failure.write"), 1);
+  EXPECT_EQ(figure("busy.write"), 1);
+  EXPECT_EQ(figure("failure.put"), 1);
+  EXPECT_EQ(figure("failure.read"), 0);
+  EXPECT_EQ(figure("backend_calls"), static_cast<long>(reached.size()));
+  EXPECT_EQ(figure("inflight"), 0);
+
+  auto c = client();
+  c->send(text("read"));  // the host holds it
+  const std::size_t before = reached.size();
+  ASSERT_TRUE(until([&] { return reached.size() > before; }));
+  EXPECT_EQ(figure("inflight"), 1);
+  c->close();
+  ASSERT_TRUE(until([&] { return figure("inflight") == 0; }));
+}
+
+TEST_F(ManagementTest, HostsDownAreThoseThatAreAvoided) {
+  const auto gone = addHost("a", always(answerText(200, "", "")));
+  addHost("a", always(answerText(200, "", "")));
+  hosts[0]->stopListening();
+  start();
+  EXPECT_EQ(figure("hosts_down"), 0);
+  // Asked until the one that refuses connections was met.
+  ASSERT_TRUE(until([&] {
+    EXPECT_EQ(ask(text("read")).result_int(), 200u);
+    return figure("hosts_down") == 1;
+  }));
+  EXPECT_EQ(figure("hosts_listed"), 2);
+  discovery.push({{"all", false}, {"targets", {target("s-0", gone, "a", "DELETED")}}});
+  EXPECT_TRUE(until([&] { return figure("hosts_listed") == 1 && figure("hosts_down") == 0; }));
+}
+
+}  // namespace
+}  // namespace cairnjunction::testing
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <thread>
 
@@ -73,6 +74,95 @@
   std::remove(path.c_str());
 }
 
+// An upgrade: a second process beside the first, at the same address. Connections are opened all the while,
+// each with one request; none may be refused or reset.
+TEST(Program, AnUpgradeLosesNoConnection) {
+  asio::io_context io;
+  const auto freeAddress = [&] { return tcp::acceptor(io, loopback()).local_endpoint(); };
+  const tcp::endpoint clients = freeAddress(), first = freeAddress(), second = freeAddress();
+  FakeDiscovery discovery(io);
+  Peer host(io, [](PeerConnection& c) { c.reply(answerText(200, "", "x")); });
+  discovery.list.push_back(target("s-0", host.endpoint));
+  const std::string folder = ::testing::TempDir() + "upgrade_" + std::to_string(getpid());
+  std::filesystem::create_directory(folder);
+  std::ofstream(folder + "/gateway-127.0.0.1-" + std::to_string(clients.port()) + ".killed");  // a leftover
+  json config = configJson();
+  config["listen"] = textOf(clients);
+  config["discovery"] = textOf(discovery.peer.endpoint);
+  config["known"] = {{"rev", 1}, {"all", true}, {"targets", discovery.list}};
+  const std::string path = folder + "/config.json";
+  std::ofstream(path) << config;
+  const auto until = [&](const auto& predicate) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!predicate() && std::chrono::steady_clock::now() < end) {
+      io.restart();
+      io.run_one_for(std::chrono::milliseconds(50));
+    }
+    return predicate();
+  };
+  const auto ask = [&](const tcp::endpoint& at, const std::string& text) {
+    std::shared_ptr<Client> c;
+    try {
+      c = Client::connect(io, at);
+    } catch (const boost::system::system_error&) {
+      return 0u;  // refused
+    }
+    c->send(text);
+    until([&] { return !c->answers.empty() || c->closedByPeer; });
+    return c->answers.empty() ? 1u : c->answers.front().result_int();
+  };
+  const auto ready = [&](const tcp::endpoint& at) {
+    return ask(at, "GET /ops/readiness HTTP/1.1\r\nHost: x\r\n\r\n") == 200;
+  };
+  const auto start = [&](const tcp::endpoint& management) {
+    return run({"GW_CONFIG=" + path, "GW_MANAGEMENT=" + textOf(management), "TMPDIR=" + folder});
+  };
+  const pid_t before = start(first);
+  ASSERT_TRUE(until([&] { return ready(first); }));
+  EXPECT_FALSE(
+      std::filesystem::exists(folder + "/gateway-127.0.0.1-" + std::to_string(clients.port()) + ".killed"));
+  int serial = 0;
+  const auto one = [&] {
+    EXPECT_EQ(ask(clients,
+                  "GET /read HTTP/1.1\r\nHost: x\r\nX-Request-Id: r" + std::to_string(++serial) + "\r\n\r\n"),
+              200u)
+        << serial;
+  };
+  one();
+  const pid_t after = start(second);
+  ASSERT_TRUE(until([&] {
+    one();
+    return ready(second);
+  }));
+  EXPECT_TRUE(ready(first)) << "it serves on until it is told to stop";
+  for (int i = 0; i < 50; ++i) one();
+  kill(before, SIGTERM);
+  int status = 0;
+  bool gone = false;
+  ASSERT_TRUE(until([&] {
+    one();
+    return gone = gone || waitpid(before, &status, WNOHANG) == before;
+  }));
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  for (int i = 0; i < 50; ++i) one();
+  kill(after, SIGTERM);
+  EXPECT_EQ(exitCode(after), 0);
+  std::filesystem::remove_all(folder);
+}
+
+TEST(Program, AnAddressThatCannotBeHadEndsTheStart) {
+  asio::io_context io;
+  tcp::acceptor held(io, loopback());
+  const std::string path = ::testing::TempDir() + "held_config_" + std::to_string(getpid()) + ".json";
+  std::ofstream(path) << configJson();
+  const std::string tmp = "TMPDIR=" + ::testing::TempDir(), address = textOf(held.local_endpoint());
+  EXPECT_EQ(exitCode(run({"GW_CONFIG=" + path, tmp, "GW_MANAGEMENT=" + address})), 1);
+  EXPECT_EQ(exitCode(run({"GW_CONFIG=" + path, tmp, "GW_MANAGEMENT=127.0.0.1:0", "GW_LISTEN=" + address})),
+            1);
+  EXPECT_EQ(exitCode(run({"GW_CONFIG=" + path, tmp, "GW_MANAGEMENT=nowhere"})), 2);
+  std::remove(path.c_str());
+}
+
 TEST(Program, SighupMovesItToTheDiscoveryThatTheFileNames) {
   asio::io_context io;
   FakeDiscovery before{io}, after{io};
