--- a/include/ochrehill/ochrehill.hpp
+++ b/include/ochrehill/ochrehill.hpp
@@ -142,6 +142,9 @@
   Balancer(Balancer&&) noexcept;
   Balancer& operator=(Balancer&&) noexcept;
 
+  // New settings bind from here on; requests under way keep their class as it was. The seed stays, and what
+  // was learned of hosts and classes too. Throws std::invalid_argument, and nothing has changed then.
+  void onSettings(Time now, Settings settings);
   void onHosts(Time now, ListKind kind, const std::vector<HostEntry>& entries);
   void onRequest(Time now, const Request& request);
   void onAnswerStarted(Time now, RequestId request, std::uint32_t attempt);  // streamed classes
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -122,6 +122,7 @@
   std::vector<HostId> order;   // the same hosts, this gateway's own first
   std::size_t width = 0;       // so many of them are in use while one of them is idle
   std::vector<ClassState> classes;
+  std::vector<std::uint32_t> places;  // in classes, of those in the settings and, at last, of the unknown one
   std::vector<Kind> kinds;
   std::vector<double> quotaTokens;
   Time quotaAt{};
@@ -153,17 +154,61 @@
   int loggedCut = 0;
 
   Impl(Settings s, Time t) : set(std::move(s)), engine(set.seed), now(t), started(t), nextSweep(t + kSweep) {
-    for (const ClassSettings& c : set.classes) {
-      classes.push_back({c, 0, 0, {}});
+    for (const ClassSettings& c : set.classes)
       meanAim += toSeconds(c.aim) / static_cast<double>(set.classes.size());
-    }
-    ClassSettings unknown = set.classes.front();  // what nobody described: never repeated, lowest worth
+    placeClasses();
+    quotaTokens.assign(set.tenants.size(), 0);
+    quotaAt = t;
+  }
+
+  // --- Settings ---------------------------------------------------------------------------------------
+
+  // Danger: requests under way keep the class that they came with. One that changed gets a place of its own,
+  // and its old place is used again once none of its requests is open.
+  void placeClasses() {
+    std::vector<ClassSettings> wanted = set.classes;
+    ClassSettings unknown = wanted.front();  // what nobody described: never repeated, lowest worth
     unknown.name = "unknown";
     unknown.effect = Effect::fragile;
     unknown.worth = 0;
-    classes.push_back({unknown, 0, 0, {}});
-    quotaTokens.assign(set.tenants.size(), 0);
-    quotaAt = t;
+    wanted.push_back(unknown);
+    const std::vector<std::uint32_t> before = std::exchange(places, {});
+    const auto in = [](const std::vector<std::uint32_t>& list, std::uint32_t place) {
+      return std::find(list.begin(), list.end(), place) != list.end();
+    };
+    for (const ClassSettings& c : wanted) {
+      const auto known = std::find_if(before.begin(), before.end(), [&](std::uint32_t place) {
+        return classes[place].set.name == c.name && !in(places, place);
+      });
+      if (known != before.end() && same(classes[*known].set, c)) {
+        places.push_back(*known);
+        continue;
+      }
+      std::uint32_t place = 0;
+      while (place < classes.size() && (classes[place].open > 0 || in(before, place) || in(places, place)))
+        ++place;
+      if (place == classes.size()) classes.emplace_back();
+      ClassState& state = classes[place] = known == before.end() ? ClassState{} : classes[*known];
+      state.set = c;
+      state.open = 0;
+      state.usualLeft = {};
+      places.push_back(place);
+      for (Host& h : hosts) {
+        h.classFails.resize(classes.size());
+        h.classFails[place] = known == before.end() ? 0 : h.classFails[*known];
+        h.open.resize(classes.size());
+        h.open[place] = names(c.zones, h.entry.zone) && names(c.kinds, h.entry.kind);
+      }
+    }
+  }
+
+  void onSettings(Settings s) {
+    s.seed = set.seed;
+    set = std::move(s);
+    placeClasses();
+    quotaTokens.resize(set.tenants.size());
+    for (Host& h : hosts) h.local = h.entry.zone == set.zone;
+    reorder();
   }
 
   // Own draws: std distributions differ between standard libraries.
@@ -403,8 +448,8 @@
     for (HostId id : listed)
       if (!sick(hosts[id])) outcomes += hosts[id].outcomes, errors += hosts[id].errors;
     errorOverload = (errors / outcomes - kErrorThreshold) / (kErrorMax - kErrorThreshold);
-    for (const ClassState& c : classes)
-      if (c.norm > 0) sum += c.norm, seen += 1;
+    for (std::uint32_t place : places)
+      if (classes[place].norm > 0) sum += classes[place].norm, seen += 1;
     norm = seen > 0 ? sum / seen : 0;
     idleLosses.fade();
     levels.fade(kSlowGain);
@@ -598,6 +643,7 @@
       turnsDue.push_back(r.key);
     }
     slotOf.erase(r.id);
+    --classes[r.cls].open;
     r.live = false;
     freeSlots.push_back(slot);
   }
@@ -725,7 +771,8 @@
     r.id = q.id;
     r.generation = generation;
     r.live = true;
-    r.cls = q.classIndex < set.classes.size() ? q.classIndex : static_cast<std::uint32_t>(set.classes.size());
+    r.cls = places[std::min<std::size_t>(q.classIndex, set.classes.size())];
+    ++classes[r.cls].open;
     slotOf.emplace(q.id, slot);
     ClassState& c = classes[r.cls];
     const double cost = toSeconds(q.cost);
@@ -954,6 +1001,10 @@
 Balancer::Balancer(Balancer&&) noexcept = default;
 Balancer& Balancer::operator=(Balancer&&) noexcept = default;
 
+void Balancer::onSettings(Time now, Settings settings) {
+  validate(settings);
+  impl_->event(now, [&] { impl_->onSettings(std::move(settings)); });
+}
 void Balancer::onHosts(Time now, ListKind kind, const std::vector<HostEntry>& entries) {
   impl_->event(now, [&] { impl_->onHosts(kind, entries); });
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "net/config.hpp"
 #include "net/gateway.hpp"
@@ -23,30 +24,32 @@
 }
 
 // Danger: a file that is no good must not end a gateway that serves; it goes on with what it has.
-void reload(cairnjunction::Gateway& gateway) {
+void reload(cairnjunction::Gateway& gateway, cairnjunction::Config& running) {
   try {
-    gateway.moveDiscovery(cairnjunction::readConfig(reloadedVariable).discovery);
-    gateway.reconfigured(true);
+    cairnjunction::Config config = cairnjunction::readConfig(reloadedVariable, &running);
+    gateway.reload(config);
+    running = std::move(config);
     std::cerr << "configuration reloaded\n";
   } catch (const cairnjunction::BadConfig& bad) {
-    gateway.reconfigured(false);
+    gateway.reloadFailed();
     std::cerr << "configuration not reloaded: " << bad.what() << '\n';
   }
 }
 
-void reloadAtEach(boost::asio::signal_set& hangups, cairnjunction::Gateway& gateway) {
+void reloadAtEach(boost::asio::signal_set& hangups, cairnjunction::Gateway& gateway,
+                  cairnjunction::Config& running) {
   hangups.async_wait([&](boost::system::error_code ec, int) {
     if (ec) return;
-    reload(gateway);
-    reloadAtEach(hangups, gateway);
+    reload(gateway, running);
+    reloadAtEach(hangups, gateway, running);
   });
 }
 
-int serve(const cairnjunction::Config& config) {
+int serve(cairnjunction::Config config) {
   boost::asio::io_context io(1);
   boost::asio::signal_set hangups(io, SIGHUP), stops(io, SIGTERM, SIGINT);
   cairnjunction::Gateway gateway(io, config, {}, [](const std::string& line) { std::cerr << line << '\n'; });
-  reloadAtEach(hangups, gateway);
+  reloadAtEach(hangups, gateway, config);
   stops.async_wait([&](boost::system::error_code ec, int) {
     if (!ec) gateway.drain([&] { io.stop(); });
   });
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -77,6 +77,7 @@
   if (grade.contains("staysIn")) read(grade, "staysIn", names), c.zones = names;
   names.clear();
   if (grade.contains("boundTo")) read(grade, "boundTo", names), c.kinds = names;
+  if (grade.contains("giveUpNs") && c.giveUp <= Duration{}) throw BadConfig("giveUpNs: must be above 0");
   c.giveUp = std::max(c.giveUp, c.aim);
   return c;
 }
@@ -170,11 +171,47 @@
   return *endpoint;
 }
 
+// What a file may leave out though the running one had it: WIRE says so, or it counts at a start only.
+bool optional(const std::string& key) {
+  for (const char* name : {"aimStretch", "staysIn", "boundTo", "passesDeadline", "warmKeys", "known", "seed",
+                           "name", "management"})
+    if (key == name) return true;
+  return false;
+}
+
+// The keys that all classes have.
+json commonKeys(const json& grades) {
+  if (grades.empty()) return json::object();
+  json common = grades.front();
+  for (const json& grade : grades)
+    for (const auto& [key, value] : grades.front().items())
+      if (!grade.contains(key)) common.erase(key);
+  return common;
+}
+
+// Every needed key of `running` must be there, and no null, in objects within it too. Danger: what is missing
+// would quietly fall back to a default, on a gateway that serves.
+void needKeys(const json& running, const json& given) {
+  if (!given.is_object()) throw BadConfig("an entry is no object");
+  for (const auto& [key, value] : running.items()) {
+    if (optional(key) || value.is_null()) continue;
+    const auto it = given.find(key);
+    if (it == given.end() || it->is_null()) throw BadConfig(key + ": missing");
+    if (value.is_object()) needKeys(value, *it);
+    if (key != "grades") continue;
+    if (!it->is_array() || it->empty()) throw BadConfig("grades: no class");
+    const json needed = commonKeys(value);
+    for (const json& grade : *it) needKeys(needed, grade);
+  }
+}
+
 }  // namespace
 
-Config parseConfig(const json& json, const Environment& environment) {
+Config parseConfig(const json& json, const Environment& environment, const Config* running) {
   if (!json.is_object()) throw BadConfig("the configuration is no object");
+  if (running) needKeys(*running->source, json);
   Config config;
+  config.source = std::make_shared<const nlohmann::json>(json);
   config.name = told(json, "name", "GW_NAME", environment);
   config.listen = toldEndpoint(json, "listen", "GW_LISTEN", environment);
   config.discovery = toldEndpoint(json, "discovery", "GW_DISCOVERY", environment);
@@ -201,14 +238,14 @@
   return config;
 }
 
-Config readConfig(const Environment& environment) {
+Config readConfig(const Environment& environment, const Config* running) {
   const char* path = environment("GW_CONFIG");
   if (!path) throw BadConfig("GW_CONFIG is not set");
   std::ifstream file(path);
   if (!file) throw BadConfig(std::string("cannot read ") + path);
   const json parsed = json::parse(file, nullptr, false);
   if (parsed.is_discarded()) throw BadConfig(std::string(path) + " holds no JSON");
-  return parseConfig(parsed, environment);
+  return parseConfig(parsed, environment, running);
 }
 
 }  // namespace cairnjunction
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <stdexcept>
@@ -31,12 +32,15 @@
   ochrehill::Duration connectTimeout{};     // for a new connection to a host
   ochrehill::Settings module;               // for the decisions
   std::optional<HostList> known;            // hosts as last had; may be old
+  std::shared_ptr<const nlohmann::json> source;
 };
 
 using Environment = std::function<const char*(const char*)>;  // as getenv
 
-// Both throw BadConfig with one line that says what is wrong.
-Config readConfig(const Environment& environment);
-Config parseConfig(const nlohmann::json& json, const Environment& environment);
+// Both throw BadConfig with one line that says what is wrong. With a running configuration, a needed key that
+// it has may not be missing.
+Config readConfig(const Environment& environment, const Config* running = nullptr);
+Config parseConfig(const nlohmann::json& json, const Environment& environment,
+                   const Config* running = nullptr);
 
 }  // namespace cairnjunction
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -38,8 +38,9 @@
   Discovery& operator=(const Discovery&) = delete;
 
   void knows(std::int64_t version) { version_ = version; }  // of the list held already
-  void watch();                                             // begins a watch; one that is on is given up
-  void moveTo(boost::asio::ip::tcp::endpoint server);       // and begins a watch there
+  const boost::asio::ip::tcp::endpoint& server() const { return server_; }
+  void watch();                                        // begins a watch; one that is on is given up
+  void moveTo(boost::asio::ip::tcp::endpoint server);  // and begins a watch there
   void stop();
 
  private:
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -116,7 +116,6 @@
     : io_(io),
       start_(Clock::now()),
       unixStart_(std::chrono::system_clock::now()),
-      settings_(config.module),
       log_(std::move(log)),
       listen_(config.listen),
       sockets_(config.sockets),
@@ -145,11 +144,7 @@
                 .idle = waits.clients.idle},
                {[this](ClientRequest request) { received(std::move(request)); },
                 [this](ExchangeId exchange) { clientGone(exchange); }}) {
-  for (std::size_t i = 0; i < settings_.classes.size(); ++i)
-    classOf_.emplace(settings_.classes[i].name, static_cast<std::uint32_t>(i));
-  for (const ochrehill::ClassSettings& c : settings_.classes) statistics_.show(c.name);
-  for (std::size_t i = 0; i < settings_.tenants.size(); ++i)
-    tenantOf_.emplace(settings_.tenants[i].name, static_cast<std::uint32_t>(i));
+  take(config.module);
   if (config.known) discovery_.knows(config.known->version);
   // The module asks discovery once it was given a list, an empty one too.
   told(config.known ? *config.known : HostList{0, true, {}}, ListKind::restored);
@@ -196,6 +191,27 @@
   return management_ ? std::optional(management_->listening()) : std::nullopt;
 }
 
+void Gateway::take(const ochrehill::Settings& settings) {
+  settings_ = settings;
+  classOf_.clear();
+  tenantOf_.clear();
+  for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
+    classOf_.emplace(settings_.classes[i].name, static_cast<std::uint32_t>(i));
+    statistics_.show(settings_.classes[i].name);
+  }
+  for (std::size_t i = 0; i < settings_.tenants.size(); ++i)
+    tenantOf_.emplace(settings_.tenants[i].name, static_cast<std::uint32_t>(i));
+}
+
+void Gateway::reload(const Config& config) {
+  take(config.module);
+  hosts_.setTimes(config.connectTimeout, config.module.idleClose);
+  balancer_.onSettings(now(), config.module);
+  statistics_.reconfigured(true);
+  if (config.discovery != discovery_.server()) discovery_.moveTo(config.discovery);
+  drainActions();
+}
+
 void Gateway::open() {
   if (clients_.takesClients() || draining_) return;
   clients_.listen(listen_, management_.has_value());
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -45,9 +45,10 @@
 
   boost::asio::ip::tcp::endpoint listening() const { return clients_.listening(); }
   std::optional<boost::asio::ip::tcp::endpoint> management() const;
-  // Discovery has a new address; the list held stays until it tells more.
-  void moveDiscovery(const boost::asio::ip::tcp::endpoint& server) { discovery_.moveTo(server); }
-  void reconfigured(bool taken) { statistics_.reconfigured(taken); }  // at SIGHUP
+  // New settings bind requests from here on. If discovery has a new address, the list held stays until that
+  // tells more.
+  void reload(const Config& config);
+  void reloadFailed() { statistics_.reconfigured(false); }
   // Finishes what was taken, then closes all and calls `done`.
   void drain(std::function<void()> done);
 
@@ -76,6 +77,7 @@
   void answer(Exchange& exchange, HttpResponse response, Statistics::End end);
   ClientServer::Answered counting(std::size_t cls, Statistics::End end, bool taken);
   bool takesClients() const { return ready_ && !draining_ && clients_.takesClients(); }
+  void take(const ochrehill::Settings& settings);
   void open();
   void share();
   void wakeAt(ochrehill::Time at);
--- a/src/net/host_pool.cpp
+++ b/src/net/host_pool.cpp
@@ -186,6 +186,11 @@
 
 HostPool::~HostPool() { stop(); }
 
+void HostPool::setTimes(Duration connectTimeout, Duration idleClose) {
+  limits_.connectTimeout = connectTimeout;
+  limits_.idleClose = idleClose;
+}
+
 void HostPool::allow(std::size_t connections) {
   limits_.connections = connections;
   while (open_ > limits_.connections && closeOldestIdle()) {
--- a/src/net/host_pool.hpp
+++ b/src/net/host_pool.hpp
@@ -57,7 +57,8 @@
   void start(AttemptKey key, ochrehill::HostId host, HttpRequest request, ochrehill::Duration limit);
   void cancel(AttemptKey key);
   void closeIdle(ochrehill::HostId host);
-  void stop();                          // closes all without a word
+  void stop();  // closes all without a word
+  void setTimes(ochrehill::Duration connectTimeout, ochrehill::Duration idleClose);
   void allow(std::size_t connections);  // fewer than are open: idle ones go
   std::size_t connections() const { return open_; }
   std::uint64_t written() const { return written_; }  // attempts, up to their last byte
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -137,13 +138,22 @@
   std::vector<Level> levels_;
 };
 
+inline bool same(const ClassSettings& a, const ClassSettings& b) {
+  const auto all = [](const ClassSettings& c) {
+    return std::tie(c.name, c.aim, c.giveUp, c.window, c.effect, c.group, c.worth, c.lateShare, c.aimStretch,
+                    c.inTurn, c.zones, c.kinds);
+  };
+  return all(a) == all(b);
+}
+
 struct ClassState {
   ClassSettings set;
   double norm = 0;      // seconds; zero until the first answer
   double answers = 0;   // that taught it
   double meanCost = 0;  // seconds, of the hints
   Duration usualLeft{};
-  double fails = 0;  // share of failed attempts, over all hosts
+  double fails = 0;      // share of failed attempts, over all hosts
+  std::size_t open = 0;  // requests
 };
 
 struct Turn {  // of one key: who waits, in order of arrival; the first one has the turn
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -491,7 +491,8 @@
   ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
   other.list = discovery.list;
   discovery.peer.stopListening();
-  gateway->moveDiscovery(other.peer.endpoint);
+  config["discovery"] = textOf(other.peer.endpoint);
+  gateway->reload(parseConfig(config, [](const char*) { return nullptr; }));
   ASSERT_TRUE(until([&] { return other.held.size() == 1; }));
   EXPECT_NE(other.targets[0].find("since=1&"), std::string::npos) << "the list held is gone on with";
   EXPECT_TRUE(until([&] { return discovery.held[0]->closedByPeer; }));
--- a/tests/management_test.cpp
+++ b/tests/management_test.cpp
@@ -16,6 +16,9 @@
     return c->answers.empty() ? Response{} : c->answers.front();
   }
   Response get(const std::string& target) { return call("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n"); }
+  static const char* noVariables(const char*) { return nullptr; }
+  static Config parsed(const json& file) { return parseConfig(file, noVariables); }
+  void reload() { gateway->reload(parsed(config)); }
   // The value of one figure; -1 if it is not shown.
   long figure(const std::string& name) {
     const std::string text = "\n" + get("/ops/stats").body(), line = "\napp." + name + "=";
@@ -133,5 +136,87 @@
   EXPECT_TRUE(until([&] { return figure("hosts_listed") == 1 && figure("hosts_down") == 0; }));
 }
 
+// --- Settings that change -------------------------------------------------------------------------------
+
+TEST_F(ManagementTest, ClassesAppearAndVanishAndRequestsUnderWayKeepTheirs) {
+  std::vector<std::shared_ptr<PeerConnection>> held;
+  const auto script = [&](PeerConnection& c, std::size_t) {
+    if (c.request.target() == "/read") return held.push_back(c.shared_from_this());
+    c.reply(answerText(200, "", "x"));
+  };
+  addHost("a", script);
+  addHost("a", script);
+  start();
+  auto before = client();
+  before->send(text("read"));
+  ASSERT_TRUE(until([&] { return held.size() == 1; }));
+  // The class comes back with a stricter effect, another one is new, a third is gone.
+  config["settings"]["grades"] =
+      json::array({classJson("read", "fragile"), classJson("extra", "fragile"), classJson("put", "dedup")});
+  reload();
+  EXPECT_EQ(figure("reconfig_ok"), 1);
+  EXPECT_EQ(ask(text("extra")).result_int(), 200u);
+  EXPECT_EQ(ask(text("write")).result_int(), 404u);
+  EXPECT_EQ(figure("success.extra"), 1);
+  EXPECT_EQ(figure("failure.write"), 1) << "a vanished class shows on";
+  // A new one of the class is treated by its new effect, the one under way by the old: it may run again.
+  auto after = client();
+  after->send("POST /read HTTP/1.1\r\nHost: x\r\nX-Request-Id: n\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(until([&] { return held.size() == 2; }));
+  held[1]->reset();
+  ASSERT_TRUE(until([&] { return after->answers.size() == 1; }));
+  EXPECT_EQ(after->answers[0].result_int(), 502u);
+  held[0]->reset();
+  ASSERT_TRUE(until([&] { return held.size() == 3; }));
+  held[2]->reply(answerText(200, "", "again"));
+  ASSERT_TRUE(until([&] { return before->answers.size() == 1; }));
+  EXPECT_EQ(before->answers[0].body(), "again");
+}
+
+TEST_F(ManagementTest, FewerAttemptsBindFromTheReloadOn) {
+  twoHosts([](PeerConnection& c, std::size_t) { c.reply(answerText(500, "", "")); });
+  EXPECT_NE(ask(text("read")).result_int(), 200u);
+  EXPECT_GT(reached.size(), 1u);
+  config["settings"]["ceilings"]["maxAttempts"] = 1;
+  reload();
+  reached.clear();
+  EXPECT_NE(ask(text("read")).result_int(), 200u);
+  EXPECT_EQ(reached.size(), 1u);
+}
+
+TEST_F(ManagementTest, AThousandReloadsKeepServing) {
+  twoHosts(always(answerText(200, "", "x")));
+  for (int i = 0; i < 1000; ++i) {
+    config["settings"]["grades"][0]["points"] = 1 + i % 7;
+    reload();
+  }
+  EXPECT_EQ(ask(text("read")).result_int(), 200u);
+  EXPECT_EQ(figure("reconfig_ok"), 1000);
+}
+
+TEST_F(ManagementTest, NothingIsTakenFromABrokenFile) {
+  addHost("a", always(answerText(200, "", "x")));
+  start();
+  const Config running = parsed(config);
+  const auto broken = [&](const char* why, auto change) {
+    json file = config;
+    change(file);
+    EXPECT_THROW(parseConfig(file, noVariables, &running), BadConfig) << why;
+  };
+  broken("no deadline", [](json& f) { f["settings"]["grades"][1].erase("giveUpNs"); });
+  broken("no class", [](json& f) { f["settings"]["grades"] = json::array(); });
+  broken("no attempts", [](json& f) { f["settings"]["ceilings"].erase("maxAttempts"); });
+  broken("no rules", [](json& f) { f["settings"].erase("rules"); });
+  broken("no discovery", [](json& f) { f.erase("discovery"); });
+  for (const json& bad : {json(0), json(-1), json("soon"), json(nullptr), json(true), json(0.5)}) {
+    broken("deadline", [&](json& f) { f["settings"]["grades"][0]["giveUpNs"] = bad; });
+    broken("aim", [&](json& f) { f["settings"]["grades"][0]["aimNs"] = bad; });
+    broken("attempts", [&](json& f) { f["settings"]["ceilings"]["maxAttempts"] = bad; });
+  }
+  json whole = config;
+  whole.erase("known");  // needed at a start only
+  EXPECT_NO_THROW(parseConfig(whole, noVariables, &running));
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
