Relay bodies in pieces with back-pressure, and take all forms of HTTP/1.1

At fault: bodies over 64 KiB were refused both ways, the time of a slowly written request ran from its first byte (Gateway::received), and a first request had to be whole 2.5 s after its connect. Ruled out: CPU (0.07 s in the worst second), memory (1 MB) and descriptors (119 of 1024).

--- a/include/ochrehill/ochrehill.hpp
+++ b/include/ochrehill/ochrehill.hpp
@@ -97,6 +97,7 @@
   Duration cost{};                    // expected work; zero = not known
   std::uint64_t key = 0;
   bool hasKey = false;
+  bool uploading = false;  // its body is still on its way: `left` counts from onUploaded
 };
 
 enum class Outcome {
@@ -147,6 +148,7 @@
   void onSettings(Time now, Settings settings);
   void onHosts(Time now, ListKind kind, const std::vector<HostEntry>& entries);
   void onRequest(Time now, const Request& request);
+  void onUploaded(Time now, RequestId request, Duration left);               // its last byte has come
   void onAnswerStarted(Time now, RequestId request, std::uint32_t attempt);  // streamed classes
   void onResult(Time now, const AttemptResult& result);
   void onClientGone(Time now, RequestId request);
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -108,6 +108,7 @@
 constexpr double kRetryShare = 0.3;  // resends per new request
 constexpr double kRetrySaved = 3;    // resends that may be saved up, beyond those of a second
 
+constexpr Duration kUploadMost = std::chrono::minutes(10);  // 32 MB at 64 kB a second, and a little more
 constexpr Duration kLogEvery = seconds(1);
 
 }  // namespace
@@ -729,6 +730,11 @@
     return classes[r.cls].set.lateShare > 0 ? end : std::min(end, r.aimAt - 2 * set.step);
   }
 
+  void hold(Host& h, const Open& r) {  // the host works for it from now on
+    h.sent.emplace_back(static_cast<std::uint32_t>(&r - slots.data()), r.generation);
+    ++h.inflight;
+  }
+
   bool send(Open& r) {
     const Time last = lastUse(r);
     if (last <= now || r.count >= std::min<std::size_t>(set.maxAttempts, kTries)) return false;
@@ -746,10 +752,9 @@
       age = 0;
     }
     r.tries[r.count] = {id, now, true, true, false, !free(h), age};
-    h.sent.emplace_back(static_cast<std::uint32_t>(&r - slots.data()), r.generation);
     h.used = now;
     if (!free(h)) ++h.lines;
-    ++h.inflight;
+    if (!r.uploading) hold(h, r);
     ++r.out;
     emit(ActionKind::send, r.id, r.count++, id, last - now);
     return true;
@@ -793,6 +798,11 @@
     const Duration late = scaled(std::min(c.usualLeft - c.set.aim, c.set.aim), c.set.lateShare);
     meanAim += kNormGain * (toSeconds(c.set.aim + late) - meanAim);
     if (c.norm > 0) meanWork += (meanWork > 0 ? kNormGain : 1.0) * (c.norm * r.cost - meanWork);
+    if (q.uploading) {
+      r.uploading = true;
+      r.deadline += kUploadMost;
+      r.aimAt += kUploadMost;
+    }
     asked += 1;
     if (set.warmKeys && r.hasKey) recentKeys.note(r.key);
     retryTokens = std::min(retryTokens + kRetryShare, kRetrySaved + kRetryShare * askedRate);
@@ -813,7 +823,7 @@
     const ClassState& c = classes[r.cls];
     const auto slot = static_cast<std::uint32_t>(&r - slots.data());
     if (!send(r)) finish(r);
-    else if (set.parallelTries && c.set.effect != Effect::fragile && c.norm > 0)
+    else if (set.parallelTries && !r.uploading && c.set.effect != Effect::fragile && c.norm > 0)
       guards.push({now + scaled(usualTime(r), kCopyNorms), slot, r.generation, Due::copy});
   }
 
@@ -825,7 +835,7 @@
     Host& h = hosts[t.host];
     t.out = false;
     --r.out;
-    --h.inflight;
+    if (!r.uploading) --h.inflight;
     if (a.outcome == Outcome::full || a.outcome == Outcome::connectFailed || a.outcome == Outcome::moot)
       t.mayHaveRun = false;
     judge(h, r, a);
@@ -846,6 +856,21 @@
     else finish(r);
   }
 
+  void onUploaded(RequestId id, Duration left) {
+    Open* r = find(id);
+    if (!r || !r->uploading) return;
+    r->uploading = false;
+    r->aimAt += now + left - r->deadline;
+    r->deadline = now + left;
+    guards.push(
+        {r->deadline - set.step, static_cast<std::uint32_t>(r - slots.data()), r->generation, Due::answer});
+    for (std::uint32_t i = 0; i < r->count; ++i) {
+      if (!r->tries[i].out) continue;
+      r->tries[i].at = now;
+      hold(hosts[r->tries[i].host], *r);
+    }
+  }
+
   void onAnswerStarted(RequestId id, std::uint32_t attempt) {
     Open* r = find(id);
     if (!r || r->ended || attempt >= r->count) return;
@@ -1011,6 +1036,9 @@
 void Balancer::onRequest(Time now, const Request& request) {
   impl_->event(now, [&] { impl_->onRequest(request); });
 }
+void Balancer::onUploaded(Time now, RequestId request, Duration left) {
+  impl_->event(now, [&] { impl_->onUploaded(request, left); });
+}
 void Balancer::onAnswerStarted(Time now, RequestId request, std::uint32_t attempt) {
   impl_->event(now, [&] { impl_->onAnswerStarted(request, attempt); });
 }
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -9,9 +9,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 
+#include "net/body_stream.hpp"
 #include "net/host_pool.hpp"
 
 namespace cairnjunction {
@@ -20,8 +22,11 @@
 
 struct ClientRequest {
   ExchangeId exchange = 0;
-  HttpRequest message;
-  std::chrono::steady_clock::time_point began;  // its first byte
+  HttpRequest message;                         // with its body, if that is held whole
+  std::chrono::steady_clock::time_point came;  // its last byte; of an upload, its head
+  BodyShare held;
+  std::shared_ptr<BodyStream> upload;   // its body, if that comes in pieces
+  std::optional<std::uint64_t> length;  // of the upload, if it is known
 };
 
 class ClientServer {
@@ -35,11 +40,15 @@
   struct Callbacks {
     std::function<void(ClientRequest)> request;  // to be answered by answer(), now or later
     std::function<void(ExchangeId)> gone;        // its client left; no answer is wanted
+    std::function<void(ExchangeId)> uploaded;    // the last byte of its upload has come
+    // Answered here, for its form or, if `busy`, for lack of room; no target if it had no whole head.
+    std::function<void(const std::string& target, bool busy)> refused;
   };
 
   using Answered = std::function<void(bool whole)>;  // the answer left whole, or its client before that
 
-  ClientServer(boost::asio::io_context& io, Limits limits, Callbacks callbacks);
+  ClientServer(boost::asio::io_context& io, Limits limits, Callbacks callbacks,
+               std::shared_ptr<BodyBudget> budget);
   ~ClientServer();
   ClientServer(const ClientServer&) = delete;
   ClientServer& operator=(const ClientServer&) = delete;
@@ -51,6 +60,9 @@
   int listener() { return acceptor_.native_handle(); }
   void allow(std::size_t connections);  // fewer than are open: idle ones go
   void answer(ExchangeId exchange, HttpResponse response, Answered answered);
+  // The body comes in pieces; in chunks if its length is not known.
+  void answer(ExchangeId exchange, HttpResponse head, std::shared_ptr<BodyStream> body,
+              std::optional<std::uint64_t> length, Answered answered);
   void lastAnswers();    // from now on every answer closes its connection
   void stopAccepting();  // takes what waits to be accepted, then closes the listener and idle connections
   std::size_t connections() const { return sessions_.size(); }
@@ -61,6 +73,7 @@
   class Session;
 
   void accept();
+  std::shared_ptr<Session> takeWaiter(ExchangeId exchange);
   bool takeWaiting();
   void admit(boost::asio::ip::tcp::socket socket);
   bool closeOldestIdle();
@@ -71,6 +84,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   Limits limits_;
   Callbacks callbacks_;
+  std::shared_ptr<BodyBudget> budget_;
   boost::asio::steady_timer sweeper_, again_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
   std::unordered_map<ExchangeId, std::shared_ptr<Session>> waiting_;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -138,11 +138,12 @@
 void readLimits(const json& limits, Config& config) {
   read(limits, "sockets", config.sockets);
   if (config.sockets < 64) throw BadConfig("sockets: at least 64 are needed");
-  double cores = 1, megabytes = 1;
+  double cores = 1, megabytes = 64;
   read(limits, "cores", cores);
   read(limits, "memory_mb", megabytes);
   if (cores <= 0) throw BadConfig("cores: must be above 0");
   if (megabytes <= 0) throw BadConfig("memory_mb: must be above 0");
+  config.memoryBytes = static_cast<std::size_t>(megabytes * (1 << 20));
 }
 
 // The variable goes before the file's entry.
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -28,6 +28,7 @@
   tcp::endpoint listen, discovery;
   std::optional<tcp::endpoint> management;  // operators' address; none: that part is off
   std::string tmp = "/tmp";                 // the one folder that may be written to
+  std::size_t memoryBytes = 64 << 20;       // that it may hold
   std::size_t sockets = 1024;               // file descriptors that the process may hold
   ochrehill::Duration connectTimeout{};     // for a new connection to a host
   ochrehill::Settings module;               // for the decisions
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -36,6 +36,7 @@
 constexpr std::size_t kOwnDescriptors = 32;
 // Beside another process: the first look at discovery is waited for so long, and so long it takes that
 // process at least to see us and make room.
+constexpr Duration kUploadConnect = std::chrono::seconds(10);  // the pool's own limits are shorter
 constexpr auto kOpenLast = std::chrono::milliseconds(2000);
 constexpr auto kOpenFirst = std::chrono::milliseconds(300);
 
@@ -86,9 +87,21 @@
     message.erase(f);
 }
 
+// A target may name the server, too (RFC 9112, 3.2.2); that goes before Host then. False if it names none.
+bool toOriginForm(HttpRequest& message) {
+  const std::string target = message.target().to_string();
+  if (!boost::beast::iequals(target.substr(0, 7), "http://")) return true;
+  const std::size_t path = std::min(target.find_first_of("/?", 7), target.size());
+  if (path == 7 || message.count(http::field::host) != 1) return false;
+  message.set(http::field::host, target.substr(7, path - 7));
+  message.target(path < target.size() && target[path] == '/' ? target.substr(path)
+                                                             : "/" + target.substr(path));
+  return true;
+}
+
 // `ok` if the message has one clear end (RFC 9112, 6), else the status to answer. Danger: the parser takes a
 // body in a coding that it doesn't know, or with no length, for the next request.
-http::status judgeFraming(const HttpRequest& message) {
+http::status judgeFraming(const HttpRequest& message, bool hasBody) {
   if (message.version() != 11) return http::status::http_version_not_supported;
   const bool coded = message.count(http::field::transfer_encoding) > 0;
   if (coded && !boost::beast::iequals(message[http::field::transfer_encoding], "chunked"))
@@ -96,7 +109,7 @@
   const bool get = message.method() == http::verb::get;
   if (message.method() == http::verb::post && !coded && !message.has_content_length())
     return http::status::length_required;
-  return get && (coded || !message.body().empty()) ? http::status::bad_request : http::status::ok;
+  return get && (coded || hasBody) ? http::status::bad_request : http::status::ok;
 }
 
 HttpResponse plain(http::status status) {
@@ -120,12 +133,16 @@
       listen_(config.listen),
       sockets_(config.sockets),
       clientsMost_(waits.clients.connections),
+      bodyBytes_(config.memoryBytes / 4),
+      budget_(std::make_shared<BodyBudget>(bodyBytes_)),
       balancer_(config.module, now()),
-      hosts_(io, {shareOf(config.sockets, 2, 5), config.connectTimeout, config.module.idleClose},
-             [this](AttemptEnd end) {
-               ends_.push_back(std::move(end));
-               drainActions();
-             }),
+      hosts_(
+          io, {shareOf(config.sockets, 2, 5), config.connectTimeout, config.module.idleClose},
+          [this](AttemptEnd end) {
+            ends_.push_back(std::move(end));
+            drainActions();
+          },
+          budget_),
       discovery_(
           io, config.discovery,
           {[this](const HostList& list) { told(list, list.full ? ListKind::replace : ListKind::update); },
@@ -143,7 +160,13 @@
                 .slow = waits.clients.slow,
                 .idle = waits.clients.idle},
                {[this](ClientRequest request) { received(std::move(request)); },
-                [this](ExchangeId exchange) { clientGone(exchange); }}) {
+                [this](ExchangeId exchange) { clientGone(exchange); },
+                [this](ExchangeId exchange) { uploaded(exchange); },
+                [this](const std::string& target, bool busy) {
+                  statistics_.answered(statistics_.classOf(firstPart(target)),
+                                       busy ? Statistics::End::busy : Statistics::End::failure);
+                }},
+               budget_) {
   take(config.module);
   if (config.known) discovery_.knows(config.known->version);
   // The module asks discovery once it was given a list, an empty one too.
@@ -223,6 +246,7 @@
   const std::size_t parts = twin_->present() ? 10 : 5;
   clients_.allow(std::min(clientsMost_, shareOf(sockets_, 3, parts)));
   hosts_.allow(shareOf(sockets_, 2, parts));
+  budget_->limit(twin_->present() ? bodyBytes_ / 2 : bodyBytes_);
   log_(twin_->present() ? "another process serves the address: the limits are shared"
                         : "no other process serves the address");
 }
@@ -264,11 +288,12 @@
 void Gateway::received(ClientRequest request) {
   const HttpRequest& message = request.message;
   ochrehill::Request asked;
-  http::status status = judgeFraming(message);
+  http::status status = judgeFraming(message, request.upload || !message.body().empty());
   if (status == http::status::ok && message.target() == "/up" && message.method() == http::verb::get)
     return clients_.answer(request.exchange,
                            plain(takesClients() ? http::status::ok : http::status::service_unavailable),
                            nullptr);
+  if (status == http::status::ok && !toOriginForm(request.message)) status = http::status::bad_request;
   if (status == http::status::ok) status = describe(message, asked);
   if (status != http::status::ok) {
     // Danger: where such a message ends is doubtful; what follows it must not pass for a request.
@@ -279,12 +304,19 @@
                            counting(counted, Statistics::End::failure, false));
   }
   asked.id = ++lastRequest_;
-  asked.left -= (Clock::now() - request.began) + kAnswerMargin;
+  const Duration left = asked.left - kAnswerMargin;
+  asked.left = left - (Clock::now() - request.came);
+  asked.uploading = request.upload != nullptr;
   stripHop(request.message);
   Exchange& exchange = exchanges_[asked.id];
   exchange.client = request.exchange;
   exchange.counted = statistics_.classOf(settings_.classes[asked.classIndex].name);
-  statistics_.taken();
+  exchange.left = left;
+  exchange.held = std::move(request.held);
+  exchange.upload = std::move(request.upload);
+  exchange.length = request.length;
+  exchange.taken = !exchange.upload;
+  if (exchange.taken) statistics_.taken();
   exchange.message = std::move(request.message);
   byClient_.emplace(request.exchange, asked.id);
   balancer_.onRequest(now(), asked);
@@ -334,14 +366,30 @@
   Exchange& exchange = exchanges_.at(id);
   exchange.ended = true;
   statistics_.answered(exchange.counted, Statistics::End::failure);
-  statistics_.ended();
+  if (exchange.taken) statistics_.ended();
   over_.push_back(id);
   balancer_.onClientGone(now(), id);
   drainActions();
 }
 
+// The time of an upload runs from its last byte.
+void Gateway::uploaded(ExchangeId client) {
+  const auto known = byClient_.find(client);
+  if (known == byClient_.end()) return;
+  Exchange& exchange = exchanges_.at(known->second);
+  exchange.taken = true;
+  statistics_.taken();
+  for (const std::uint32_t attempt : exchange.attempts)
+    hosts_.uploaded({known->second, attempt}, exchange.left);
+  balancer_.onUploaded(now(), known->second, exchange.left);
+  drainActions();
+}
+
 void Gateway::settle(AttemptEnd end) {
   const auto it = exchanges_.find(end.key.request);
+  if (it == exchanges_.end() || it->second.ended) {
+    if (end.body) end.body->abandon();
+  }
   if (it == exchanges_.end()) return;
   Exchange& exchange = it->second;
   --exchange.out;
@@ -349,7 +397,7 @@
   if (end.outcome == Outcome::served && !exchange.ended) {
     stripHop(end.answer);
     end.answer.erase("X-Load");
-    answer(exchange, std::move(end.answer), Statistics::End::success);
+    answer(exchange, std::move(end.answer), Statistics::End::success, std::move(end.body), end.length);
   }
   ochrehill::AttemptResult result;
   result.request = end.key.request;
@@ -405,10 +453,22 @@
   Exchange& exchange = it->second;
   ++exchange.out;
   HttpRequest message = exchange.message;
-  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(action.span).count();
+  // Of an upload under way it is the time from its last byte on.
+  const Duration wait = exchange.taken ? action.span : exchange.left;
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
   message.set("X-Deadline-Ms", std::to_string(std::max<std::int64_t>(ms, 1)));
   message.version(11);
   message.keep_alive(true);
+  if (exchange.upload) {
+    // Danger: a body of which bytes were sent is not whole any more, and two attempts can't share one.
+    if (exchange.upload->touched() || exchange.out > 1) {
+      ends_.push_back({{action.request, action.attempt}, action.host, Outcome::moot, {}, {}});
+      return;
+    }
+    exchange.attempts = {action.attempt};
+    return hosts_.start({action.request, action.attempt}, action.host, std::move(message), exchange.upload,
+                        exchange.length, exchange.taken ? action.span : kUploadConnect);
+  }
   if (message.method() != http::verb::get || !message.body().empty()) message.prepare_payload();
   hosts_.start({action.request, action.attempt}, action.host, std::move(message), action.span);
 }
@@ -435,10 +495,14 @@
   };
 }
 
-void Gateway::answer(Exchange& exchange, HttpResponse response, Statistics::End end) {
+void Gateway::answer(Exchange& exchange, HttpResponse response, Statistics::End end,
+                     std::shared_ptr<BodyStream> body, std::optional<std::uint64_t> length) {
   exchange.ended = true;
   byClient_.erase(exchange.client);
-  clients_.answer(exchange.client, std::move(response), counting(exchange.counted, end, true));
+  auto answered = counting(exchange.counted, end, exchange.taken);
+  if (body)
+    clients_.answer(exchange.client, std::move(response), std::move(body), length, std::move(answered));
+  else clients_.answer(exchange.client, std::move(response), std::move(answered));
 }
 
 // Only the earliest wake counts: the module asks anew at each event for the next.
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -56,9 +56,15 @@
   struct Exchange {  // a request under way
     ExchangeId client = 0;
     HttpRequest message;
-    std::size_t counted = 0;  // its class in the statistics
-    std::uint32_t out = 0;    // attempts
-    bool ended = false;       // answered, or its client left
+    std::shared_ptr<BodyStream> upload;   // its body, if that comes in pieces
+    std::optional<std::uint64_t> length;  // of the upload
+    ochrehill::Duration left{};           // from its last byte on
+    BodyShare held;
+    std::vector<std::uint32_t> attempts;  // out, of an upload under way
+    bool taken = false;                   // its last byte has come
+    std::size_t counted = 0;              // its class in the statistics
+    std::uint32_t out = 0;                // attempts
+    bool ended = false;                   // answered, or its client left
   };
 
   ochrehill::Time now() const;
@@ -67,6 +73,7 @@
   void received(ClientRequest request);
   boost::beast::http::status describe(const HttpRequest& message, ochrehill::Request& request) const;
   void clientGone(ExchangeId exchange);
+  void uploaded(ExchangeId exchange);
   void told(const HostList& list, ochrehill::ListKind kind);
 
   void drainActions();
@@ -74,7 +81,8 @@
   void send(const ochrehill::Action& action);
   void giveUp(const ochrehill::Action& action);
   void settle(AttemptEnd end);
-  void answer(Exchange& exchange, HttpResponse response, Statistics::End end);
+  void answer(Exchange& exchange, HttpResponse response, Statistics::End end,
+              std::shared_ptr<BodyStream> body = nullptr, std::optional<std::uint64_t> length = {});
   ClientServer::Answered counting(std::size_t cls, Statistics::End end, bool taken);
   bool takesClients() const { return ready_ && !draining_ && clients_.takesClients(); }
   void take(const ochrehill::Settings& settings);
@@ -91,6 +99,8 @@
   std::function<void(std::string)> log_;
   boost::asio::ip::tcp::endpoint listen_;
   std::size_t sockets_, clientsMost_;
+  std::size_t bodyBytes_;
+  std::shared_ptr<BodyBudget> budget_;
   ochrehill::Balancer balancer_;
   HostPool hosts_;
   Discovery discovery_;
--- a/src/net/host_pool.cpp
+++ b/src/net/host_pool.cpp
@@ -2,13 +2,16 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
 #include <chrono>
+#include <limits>
 #include <optional>
+#include <sstream>
 #include <utility>
 
 namespace cairnjunction {
@@ -23,7 +26,10 @@
 using tcp = asio::ip::tcp;
 using Clock = std::chrono::steady_clock;
 
+constexpr std::size_t kChunk = 16 << 10;  // read at a time
 constexpr Duration kSweep = std::chrono::milliseconds(250);
+constexpr auto kHoldUnknown = std::chrono::milliseconds(100);  // an answer that may prove to be a large one
+constexpr Duration kStall = std::chrono::seconds(10);  // a peer of a body in pieces that stands still is left
 // Danger: a request written to a connection that the host is just closing ends as a reset, which may have
 // run. Given up earlier than the host would by this, or by a fifth of a short limit.
 constexpr Duration kIdleMargin = std::chrono::seconds(2);
@@ -38,20 +44,24 @@
 }  // namespace
 
 struct HostPool::Connection : std::enable_shared_from_this<Connection> {
-  enum class Phase { connecting, writing, reading, idle, closed };
+  enum class Phase { connecting, writing, reading, relaying, idle, closed };
 
   HostPool* pool;
   HostId host;
   tcp::socket socket;
   asio::steady_timer timer;
-  boost::beast::flat_buffer buffer{kHeaderLimit + kBodyLimit};
-  std::optional<http::response_parser<http::string_body>> parser;
+  boost::beast::flat_buffer buffer{kHeaderLimit + 2 * kChunk};
+  std::optional<http::response_parser<PieceBody>> parser;
   HttpRequest request;
+  std::shared_ptr<BodyStream> upload, download;
+  BodyShare held;
+  std::string piece;  // of the upload, being written
   AttemptKey key;
   Phase phase = Phase::connecting;
   Clock::time_point sentAt, idleSince, deadline;
   std::uint64_t turn = 0;  // of the timer: one that is already due when it is moved is told by it
-  bool watching = false;
+  bool watching = false, pieceOut = false, lastChunk = false, receiving = false;
+  bool waitsShort = false, feeding = false;
 
   Connection(HostPool& p, HostId h) : pool(&p), host(h), socket(p.io_), timer(p.io_) { ++p.open_; }
 
@@ -62,16 +72,45 @@
     timer.cancel();
     error_code ignored;
     socket.close(ignored);
+    dropBodies();
     --pool->open_;
   }
 
+  void dropBodies() {
+    if (const auto mine = std::exchange(upload, nullptr)) {
+      mine->onData = nullptr;
+      if (mine->touched()) mine->abandon();  // else another attempt may take it
+    }
+    if (const auto mine = std::exchange(download, nullptr)) {
+      mine->onRoom = nullptr;
+      mine->fail();
+    }
+    held = {};
+  }
+
   void limit(Clock::time_point at, Outcome outcome) {
     timer.expires_at(at);
     timer.async_wait([self = shared_from_this(), mine = ++turn, outcome](error_code ec) {
-      if (!ec && mine == self->turn && self->phase != Phase::closed) self->end(outcome);
+      if (!ec && mine == self->turn && self->phase != Phase::closed) self->late(outcome);
     });
   }
 
+  void late(Outcome outcome) {
+    if (phase == Phase::reading && outcome == Outcome::timeout && mayGrow()) {
+      if (!parser->get().body().empty()) return beginRelay();
+      if (Clock::now() < deadline) return limit(deadline, outcome);
+    }
+    if (phase != Phase::relaying) return end(outcome);
+    close();
+    pool->relaying_.erase(shared_from_this());
+  }
+
+  // An answer of unknown length. It may pass what is held, and of such a one the first bytes count.
+  bool mayGrow() const {
+    return parser && parser->is_header_done() && !parser->is_done() && !parser->content_length() &&
+           parser->get().result() == http::status::ok;
+  }
+
   void connect(const tcp::endpoint& endpoint) {
     // Until the connection is up nothing has been written, so the end of the attempt's own time proves here
     // that it never ran, as the end of the time for connecting does.
@@ -90,41 +129,191 @@
 
   void write() {
     phase = Phase::writing;
+    if (upload) return writeUpload();
     limit(deadline, Outcome::timeout);
     http::async_write(socket, request, [self = shared_from_this()](error_code ec, std::size_t) {
       if (self->phase != Phase::writing) return;
       // An error here means that the last byte was not written: it never ran.
       if (ec) return self->end(Outcome::connectFailed);
-      ++self->pool->written_;
-      self->read();
+      self->written();
     });
   }
 
-  void read() {
+  void written() {
+    ++pool->written_;
     phase = Phase::reading;
+    if (!receiving) read();
+  }
+
+  // --- A request in pieces ---
+
+  // Reads meanwhile: a host that turns the request away says so before its end.
+  void writeUpload() {
+    upload->onData = [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->pump();
+    };
+    std::ostringstream head;
+    head << request.base();
+    writePiece(head.str());
+    read();
+  }
+
+  void writePiece(std::string text) {
+    pieceOut = true;
+    piece = std::move(text);
+    limit(Clock::now() + kStall, Outcome::connectFailed);  // the last byte is still to come
+    asio::async_write(socket, asio::buffer(piece), [self = shared_from_this()](error_code ec, std::size_t) {
+      self->pieceOut = false;
+      if (self->phase != Phase::writing) return;
+      if (ec) return self->end(Outcome::connectFailed);
+      ++self->turn;
+      self->timer.cancel();
+      self->pump();
+    });
+  }
+
+  void pump() {
+    if (phase != Phase::writing || pieceOut || !upload) return;
+    if (upload->failed()) return end(Outcome::cancelled);
+    const std::string next = upload->take();
+    const bool chunked = request.chunked();
+    if (!next.empty()) return writePiece(chunked ? chunkOf(next) : next);
+    if (!upload->finished()) return;
+    if (chunked && !std::exchange(lastChunk, true)) return writePiece(chunkOf({}));
+    upload->onData = nullptr;
+    upload.reset();
+    limit(deadline, Outcome::timeout);
+    written();
+  }
+
+  // --- The answer ---
+
+  void read() {
+    if (phase != Phase::relaying) renewParser();
+    receive();
+  }
+
+  void renewParser() {
     parser.emplace();
-    parser->body_limit(kBodyLimit);
+    parser->eager(true);
+    parser->body_limit(std::numeric_limits<std::uint64_t>::max());  // what is not held passes through
     parser->header_limit(kHeaderLimit);
-    // Danger: read in one go, Beast 1.74 passes over the limit on a Content-Length. Head first, it keeps it.
-    http::async_read_header(socket, buffer, *parser, [self = shared_from_this()](error_code ec, std::size_t) {
-      if (self->phase != Phase::reading) return;
-      if (ec) return self->end(brokenRead(ec));
-      self->readBody();
-    });
   }
 
-  void readBody() {
-    http::async_read(socket, buffer, *parser, [self = shared_from_this()](error_code ec, std::size_t) {
-      if (self->phase != Phase::reading) return;
-      self->end(ec ? brokenRead(ec) : self->judge(), !ec && self->reusable());
+  void receive() {
+    receiving = true;
+    socket.async_read_some(buffer.prepare(kChunk), [self = shared_from_this()](error_code ec, std::size_t n) {
+      self->receiving = false;
+      if (self->phase != Phase::reading && self->phase != Phase::writing && self->phase != Phase::relaying)
+        return;
+      self->buffer.commit(n);
+      self->received(ec);
     });
   }
 
+  void received(error_code ec) {
+    if (ec == asio::error::eof) {
+      error_code ended;
+      if (parser->got_some()) parser->put_eof(ended);
+      if (!parser->got_some() || ended) return broken(ended ? ended : ec);
+      return answered();  // ended by the connection's end
+    }
+    if (ec) return broken(ec);
+    while (buffer.size() > 0 && !parser->is_done()) {
+      error_code bad;
+      buffer.consume(parser->put(buffer.data(), bad));
+      if (bad == http::error::need_more) break;
+      if (bad) return broken(bad);
+      const int status = parser->is_header_done() ? parser->get().result_int() : 0;
+      if (parser->is_done() && status / 100 == 1 && status != 101) renewParser();  // the answer is to come
+    }
+    // Danger: the parser bounds the head, not the head of a chunk, and the buffer throws when it is full.
+    if (!parser->is_done() && buffer.size() + kChunk > buffer.max_size())
+      return broken(http::error::header_limit);
+    if (phase == Phase::relaying) return relay();
+    if (parser->is_done()) return answered();
+    if (!parser->is_header_done()) return receive();
+    const auto length = parser->content_length();
+    const std::size_t come = parser->get().body().size();
+    held.resize(come);
+    if (phase == Phase::reading && mayGrow() && !std::exchange(waitsShort, true))
+      limit(std::min(deadline, Clock::now() + kHoldUnknown), Outcome::timeout);
+    const bool whole = std::max<std::uint64_t>(come, length ? *length : 0) <= kHeldBody &&
+                       (come == 0 || pool->budget_->room(kHeldBody));
+    if (whole) return receive();
+    if (phase != Phase::reading || parser->get().result() != http::status::ok) return answered(false);
+    beginRelay();
+  }
+
+  void broken(error_code ec) {
+    if (phase == Phase::writing) return end(Outcome::connectFailed);
+    if (phase == Phase::reading) return end(brokenRead(ec));
+    close();
+    pool->relaying_.erase(shared_from_this());
+  }
+
+  void answered(bool whole = true) {
+    if (phase == Phase::relaying) return relay();
+    const bool early = phase == Phase::writing;  // before the end of its request: it can't have run
+    const Outcome outcome = judge();
+    if (early) return end(outcome == Outcome::served ? Outcome::reset : outcome);
+    end(outcome, whole && reusable());
+  }
+
+  // The attempt is over, for the host has done its work; what it gives is passed on as it comes.
+  void beginRelay() {
+    ++turn;
+    timer.cancel();
+    phase = Phase::relaying;
+    download = std::make_shared<BodyStream>(pool->budget_);
+    download->onRoom = [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->relayOn();
+    };
+    pool->busy_.erase(key);
+    pool->relaying_.insert(shared_from_this());
+    AttemptEnd done{key, host, Outcome::served, Clock::now() - sentAt, {}};
+    done.answer.base() = parser->get().base();
+    done.body = download;
+    if (const auto length = parser->content_length()) done.length = *length;
+    held = {};
+    relay();
+    pool->ended_(std::move(done));
+  }
+
+  void relay() {
+    // Danger: taken at once, it makes room at once, and a read would be begun from within.
+    feeding = true;
+    download->append(std::exchange(parser->get().body(), {}));
+    feeding = false;
+    if (!download) return;  // closed meanwhile
+    if (!parser->is_done()) return relayOn();
+    download->onRoom = nullptr;
+    std::exchange(download, nullptr)->finish();
+    const auto self = shared_from_this();
+    pool->relaying_.erase(self);
+    if (reusable()) rest();
+    else close();
+  }
+
+  void relayOn() {
+    if (phase != Phase::relaying || receiving || feeding || !download) return;
+    if (download->abandoned()) return late(Outcome::cancelled);
+    if (download->full()) {
+      ++turn;
+      timer.cancel();
+      return;
+    }
+    limit(Clock::now() + kStall, Outcome::reset);
+    receive();
+  }
+
   Outcome judge() const {
     const auto& answer = parser->get();
     const http::status status = answer.result();
-    // Danger: an answer framed by the end of the connection can't be told from one that was cut.
-    if (status == http::status::ok && !answer.chunked() && !answer.has_content_length())
+    // Danger: an answer framed by the end of the connection can't be told from one that was cut, unless it
+    // says that the connection ends with it.
+    if (status == http::status::ok && parser->need_eof() &&
+        !http::token_list(answer[http::field::connection]).exists("close"))
       return Outcome::reset;
     if (status == http::status::ok) return Outcome::served;
     const bool busy = status == http::status::service_unavailable || status == http::status::gateway_timeout;
@@ -132,7 +321,10 @@
     return Outcome::error;  // it may have run, whatever the answer says
   }
 
-  bool reusable() const { return parser->get().keep_alive() && buffer.size() == 0; }
+  bool reusable() const {
+    return parser->get().result() != http::status::switching_protocols && !parser->need_eof() &&
+           parser->get().keep_alive() && buffer.size() == 0;
+  }
 
   // Ends the attempt. The connection is kept only after a whole answer: what comes late on one that was
   // given up would be taken for the answer to the next request.
@@ -141,7 +333,10 @@
     AttemptEnd done{key, host, outcome, Clock::now() - sentAt, {}};
     // Danger: a read that is given up may have its bytes already and still put them to the parser, so that
     // stays until the connection is used again or goes.
-    if (outcome == Outcome::served) done.answer = parser->release();
+    if (outcome == Outcome::served) {
+      done.answer.base() = std::move(parser->get().base());
+      done.answer.body() = std::move(parser->get().body());
+    }
     pool->busy_.erase(key);
     if (keep) rest();
     else close();
@@ -154,6 +349,7 @@
     timer.cancel();
     parser.reset();
     request = {};
+    held = {};
     idleSince = Clock::now();
     pool->hostOf(host).idle.push_back(shared_from_this());
     watch();
@@ -179,8 +375,8 @@
   }
 };
 
-HostPool::HostPool(asio::io_context& io, Limits limits, Ended ended)
-    : io_(io), limits_(limits), ended_(std::move(ended)), sweeper_(io) {
+HostPool::HostPool(asio::io_context& io, Limits limits, Ended ended, std::shared_ptr<BodyBudget> budget)
+    : io_(io), limits_(limits), ended_(std::move(ended)), budget_(std::move(budget)), sweeper_(io) {
   sweep();
 }
 
@@ -200,6 +396,7 @@
 void HostPool::stop() {
   sweeper_.cancel();
   for (auto& [key, connection] : std::exchange(busy_, {})) connection->close();
+  for (const auto& connection : std::exchange(relaying_, {})) connection->close();
   for (Host& host : hosts_)
     for (auto& connection : std::exchange(host.idle, {})) connection->close();
 }
@@ -217,6 +414,25 @@
 }
 
 void HostPool::start(AttemptKey key, HostId host, HttpRequest request, Duration limit) {
+  begin(key, host, std::move(request), limit, nullptr);
+}
+
+void HostPool::start(AttemptKey key, HostId host, HttpRequest head, std::shared_ptr<BodyStream> upload,
+                     std::optional<std::uint64_t> length, Duration limit) {
+  if (length) head.content_length(*length);
+  else head.chunked(true);
+  begin(key, host, std::move(head), limit, std::move(upload));
+}
+
+void HostPool::uploaded(AttemptKey key, Duration limit) {
+  const auto it = busy_.find(key);
+  if (it == busy_.end()) return;
+  it->second->sentAt = Clock::now();
+  it->second->deadline = it->second->sentAt + limit;
+}
+
+void HostPool::begin(AttemptKey key, HostId host, HttpRequest request, Duration limit,
+                     std::shared_ptr<BodyStream> upload) {
   const auto now = Clock::now();
   std::shared_ptr<Connection> connection = takeIdle(host);
   const bool fresh = !connection;
@@ -227,6 +443,9 @@
   }
   connection->key = key;
   connection->request = std::move(request);
+  connection->upload = std::move(upload);
+  connection->lastChunk = connection->waitsShort = false;
+  connection->held = BodyShare(budget_, 0);
   connection->sentAt = now;
   connection->deadline = now + std::max(limit, Duration::zero());
   busy_.emplace(key, connection);
--- a/src/net/host_pool.hpp
+++ b/src/net/host_pool.hpp
@@ -11,9 +11,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
+#include "net/body_stream.hpp"
 #include "ochrehill/ochrehill.hpp"
 
 namespace cairnjunction {
@@ -21,7 +24,6 @@
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
-inline constexpr std::uint64_t kBodyLimit = 64 << 10;
 inline constexpr std::uint32_t kHeaderLimit = 16 << 10;
 
 struct AttemptKey {
@@ -35,7 +37,9 @@
   ochrehill::HostId host = ochrehill::kNone;
   ochrehill::Outcome outcome = ochrehill::Outcome::reset;
   ochrehill::Duration taken{};
-  HttpResponse answer;  // whole, with Outcome::served
+  HttpResponse answer;                         // with Outcome::served: whole, or
+  std::shared_ptr<BodyStream> body = nullptr;  // its body comes in pieces,
+  std::optional<std::uint64_t> length = {};    // so many bytes, if that is known
 };
 
 class HostPool {
@@ -47,7 +51,7 @@
   };
   using Ended = std::function<void(AttemptEnd)>;  // may be called from within start() and cancel()
 
-  HostPool(boost::asio::io_context& io, Limits limits, Ended ended);
+  HostPool(boost::asio::io_context& io, Limits limits, Ended ended, std::shared_ptr<BodyBudget> budget);
   ~HostPool();
   HostPool(const HostPool&) = delete;
   HostPool& operator=(const HostPool&) = delete;
@@ -55,6 +59,11 @@
   void setEndpoint(ochrehill::HostId host, const boost::asio::ip::tcp::endpoint& endpoint);
   // Sends the request, on the latest used idle connection if there is one. Ends exactly once.
   void start(AttemptKey key, ochrehill::HostId host, HttpRequest request, ochrehill::Duration limit);
+  // The body comes in pieces, in chunks if its length is not known. While it comes, uploaded() sets the
+  // limit.
+  void start(AttemptKey key, ochrehill::HostId host, HttpRequest head, std::shared_ptr<BodyStream> upload,
+             std::optional<std::uint64_t> length, ochrehill::Duration limit);
+  void uploaded(AttemptKey key, ochrehill::Duration limit);
   void cancel(AttemptKey key);
   void closeIdle(ochrehill::HostId host);
   void stop();  // closes all without a word
@@ -75,6 +84,8 @@
     }
   };
 
+  void begin(AttemptKey key, ochrehill::HostId host, HttpRequest request, ochrehill::Duration limit,
+             std::shared_ptr<BodyStream> upload);
   Host& hostOf(ochrehill::HostId host);
   std::shared_ptr<Connection> takeIdle(ochrehill::HostId host);
   bool closeOldestIdle();
@@ -86,7 +97,9 @@
   Limits limits_;
   Ended ended_;
   std::vector<Host> hosts_;
+  std::shared_ptr<BodyBudget> budget_;
   std::unordered_map<AttemptKey, std::shared_ptr<Connection>, KeyHash> busy_;
+  std::unordered_set<std::shared_ptr<Connection>> relaying_;  // answers whose attempt has ended
   std::size_t open_ = 0;
   std::uint64_t written_ = 0;
   boost::asio::steady_timer sweeper_;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -94,7 +94,7 @@
   double cost = 0;   // against the class's mean
   double score = 0;  // 1 to 100
   std::uint64_t key = 0;
-  bool hasKey = false, live = false, ended = false, bound = false;
+  bool hasKey = false, live = false, ended = false, bound = false, uploading = false;
   std::array<Try, kTries> tries;
   std::uint32_t count = 0, out = 0;
 };
