Let silent peers with part of a request make room when connections run short

Seen in the code: at the limit only idle connections made room, so peers that sent part of a head held their places for 2.5 s each. The longest silent one, half a second at least, goes now after the idle ones; a slow writer that writes, and a request that was taken, stay. The test waits in vain without it.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -22,7 +22,8 @@
 using tcp = asio::ip::tcp;
 using Clock = std::chrono::steady_clock;
 
-constexpr std::size_t kChunk = 4096;  // read at a time
+constexpr std::size_t kChunk = 4096;                      // read at a time
+constexpr auto kSilent = std::chrono::milliseconds(500);  // then what is unfinished may make room
 constexpr std::size_t kBodyChunk = 16 << 10;
 constexpr int kRelayBuffer = 128 << 10;  // of the kernel, for an answer in pieces
 constexpr double kBodyRate = 24 << 10;   // bytes a second: well below the slowest proper client
@@ -87,7 +88,14 @@
     error_code ec;
     return socket_.available(ec) == 0 || ec;
   }
+  // A part of a request has come, and nothing waits to be read.
+  bool unfinished() const {
+    if (state_ != State::reading || !begun_) return false;
+    error_code ec;
+    return socket_.available(ec) == 0 || ec;
+  }
   Clock::time_point since() const { return since_; }
+  Clock::time_point lastCame() const { return lastCame_; }
 
   bool overdue(Clock::time_point now) const {
     switch (state_) {
@@ -435,7 +443,7 @@
 
 void ClientServer::allow(std::size_t connections) {
   limits_.connections = connections;
-  while (sessions_.size() > limits_.connections && closeOldestIdle()) {
+  while (sessions_.size() > limits_.connections && makeRoom()) {
   }
 }
 
@@ -481,14 +489,14 @@
 // a connection that is there: an idle client is not sent away for nobody. So there may be one over it.
 bool ClientServer::takeWaiting() {
   for (;;) {
-    if (sessions_.size() > limits_.connections && !closeOldestIdle()) return false;
+    if (sessions_.size() > limits_.connections && !makeRoom()) return false;
     error_code ec;
     tcp::socket socket(io_);
     acceptor_.accept(socket, ec);
     if (ec == asio::error::would_block || ec == asio::error::try_again) return true;
     if (ec == asio::error::connection_aborted || ec == asio::error::interrupted) continue;
-    if (ec) return closeOldestIdle();
-    if (sessions_.size() >= limits_.connections) closeOldestIdle();
+    if (ec) return makeRoom();
+    if (sessions_.size() >= limits_.connections) makeRoom();
     admit(std::move(socket));
     if (sessions_.size() > limits_.connections) return false;
   }
@@ -502,12 +510,19 @@
   session->start();
 }
 
-bool ClientServer::closeOldestIdle() {
-  std::shared_ptr<Session> oldest;
-  for (const auto& session : sessions_)
-    if ((!oldest || session->since() < oldest->since()) && session->idle()) oldest = session;
-  if (!oldest) return false;
-  oldest->close();
+// The one that is idle for longest; else, of those with a part of a request, the one silent for longest. Who
+// writes slowly, but writes, stays, and so does every request that was taken.
+bool ClientServer::makeRoom() {
+  std::shared_ptr<Session> idle, silent;
+  const auto quiet = Clock::now() - kSilent;
+  for (const auto& session : sessions_) {
+    if ((!idle || session->since() < idle->since()) && session->idle()) idle = session;
+    if (session->unfinished() && session->lastCame() < (silent ? silent->lastCame() : quiet))
+      silent = session;
+  }
+  const auto leaving = idle ? idle : silent;
+  if (!leaving) return false;
+  leaving->close();
   return true;
 }
 
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -76,7 +76,7 @@
   std::shared_ptr<Session> takeWaiter(ExchangeId exchange);
   bool takeWaiting();
   void admit(boost::asio::ip::tcp::socket socket);
-  bool closeOldestIdle();
+  bool makeRoom();
   void ended(const std::shared_ptr<Session>& session);
   void sweep();
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -353,6 +353,24 @@
   for (int i = 0; i < 6; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
 }
 
+TEST_F(GatewayTest, SilentPeersWithPartOfARequestMakeRoomForNewOnes) {
+  waits.clients.connections = 3;
+  waits.clients.first = std::chrono::minutes(5);
+  twoHosts(always(answerText(200, "", "ok")));
+  std::vector<std::shared_ptr<Client>> strangers;
+  for (int i = 0; i < 4; ++i) {  // one over the limit, as the listener takes it
+    strangers.push_back(client());
+    strangers.back()->send(
+        "POST /write HTTP/1.1\r\nHost: x\r\nX-Request-Id: s\r\nExpect: 100-continue\r\n"
+        "Content-Length: 3\r\n\r\n");
+    ASSERT_TRUE(until([&] { return strangers.back()->answers.size() == 1; })) << "its head was read";
+  }
+  EXPECT_EQ(ask(text("read")).result_int(), 200u);
+  EXPECT_TRUE(until([&] {
+    return std::any_of(strangers.begin(), strangers.end(), [](const auto& c) { return c->closedByPeer; });
+  }));
+}
+
 TEST_F(GatewayTest, ConnectionsToHostsAreBounded) {
   config["limits"]["sockets"] = 64;  // leaves a dozen for hosts
   shorten(1);
