--- a/src/net/host_pool.cpp
+++ b/src/net/host_pool.cpp
@@ -246,7 +246,9 @@
   }
 
   void broken(error_code ec) {
-    if (phase == Phase::writing) return end(Outcome::connectFailed);
+    // Danger: with all of the body given to the socket, the last byte may be out though we have not heard.
+    const bool last = upload && upload->finished();
+    if (phase == Phase::writing) return end(last ? Outcome::reset : Outcome::connectFailed);
     if (phase == Phase::reading) return end(brokenRead(ec));
     close();
     pool->relaying_.erase(shared_from_this());
