--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -25,6 +25,17 @@
   return pid;
 }
 
+template <class Predicate>
+bool runUntil(asio::io_context& io, const Predicate& predicate) {
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  while (!predicate()) {
+    if (std::chrono::steady_clock::now() > end) return false;
+    io.restart();
+    io.run_one_for(std::chrono::milliseconds(50));
+  }
+  return true;
+}
+
 int exitCode(pid_t pid) {
   int status = 0;
   EXPECT_EQ(waitpid(pid, &status, 0), pid);
@@ -92,14 +103,7 @@
   config["known"] = {{"rev", 1}, {"all", true}, {"targets", discovery.list}};
   const std::string path = folder + "/config.json";
   std::ofstream(path) << config;
-  const auto until = [&](const auto& predicate) {
-    const auto end = std::chrono::steady_clock::now() + kPatience;
-    while (!predicate() && std::chrono::steady_clock::now() < end) {
-      io.restart();
-      io.run_one_for(std::chrono::milliseconds(50));
-    }
-    return predicate();
-  };
+  const auto until = [&](const auto& predicate) { return runUntil(io, predicate); };
   const auto ask = [&](const tcp::endpoint& at, const std::string& text) {
     std::shared_ptr<Client> c;
     try {
@@ -138,10 +142,9 @@
   for (int i = 0; i < 50; ++i) one();
   kill(before, SIGTERM);
   int status = 0;
-  bool gone = false;
   ASSERT_TRUE(until([&] {
     one();
-    return gone = gone || waitpid(before, &status, WNOHANG) == before;
+    return waitpid(before, &status, WNOHANG) == before;
   }));
   EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
   for (int i = 0; i < 50; ++i) one();
@@ -166,14 +169,7 @@
 TEST(Program, SighupMovesItToTheDiscoveryThatTheFileNames) {
   asio::io_context io;
   FakeDiscovery before{io}, after{io};
-  const auto until = [&](const auto& predicate) {
-    const auto end = std::chrono::steady_clock::now() + kPatience;
-    while (!predicate() && std::chrono::steady_clock::now() < end) {
-      io.restart();
-      io.run_one_for(std::chrono::milliseconds(50));
-    }
-    return predicate();
-  };
+  const auto until = [&](const auto& predicate) { return runUntil(io, predicate); };
   const std::string path = ::testing::TempDir() + "reload_config_" + std::to_string(getpid()) + ".json";
   json config = configJson();
   config["known"] = {{"rev", 1}, {"all", true}, {"targets", {target("s-0", loopback(1))}}};
