Tests: a peer that stops listening keeps its port, so no other test is dialled by mistake

One play of ALargeAnswerComesThroughWhole failed in parallel with others (1 of some 6,000; its text was not kept). Alone, 16 side by side, on one core and under the sanitizers it did not fail again (over 5,000 plays), so a stray peer is suspected: a port given back by stopListening() goes to the next test, and the first one's gateway dials on.

--- a/tests/net_peers.hpp
+++ b/tests/net_peers.hpp
@@ -106,7 +106,14 @@
   ~Peer() {
     for (auto& c : connections) c->close();
   }
-  void stopListening() { acceptor_.close(); }
+  // Danger: a port given back goes to the next who asks, and a gateway that dials on would reach another
+  // test's peer. So it stays bound, and refuses.
+  void stopListening() {
+    acceptor_.close();
+    held_.open(endpoint.protocol());
+    held_.set_option(tcp::socket::reuse_address(true));
+    held_.bind(endpoint);
+  }
 
   tcp::endpoint endpoint;
   PeerConnection::Script script;
@@ -126,6 +133,7 @@
     });
   }
   tcp::acceptor acceptor_;
+  tcp::socket held_{acceptor_.get_executor()};
 };
 
 // Answers lists and first looks at once, holds the watches until something is pushed.
