--- /dev/null
+++ b/src/lab/checker.cpp
@@ -0,0 +1,126 @@
+#include "lab/checker.hpp"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace hollyrun::lab {
+
+using ochrehill::Effect;
+using ochrehill::Group;
+using ochrehill::Outcome;
+using ochrehill::Phase;
+
+const char* nameOf(Rule rule) {
+  switch (rule) {
+    case Rule::lost: return "lost";
+    case Rule::duplicate: return "duplicate";
+    case Rule::drain: return "drain";
+    case Rule::fall: return "fall";
+  }
+  return "?";
+}
+
+void Checker::breach(Rule rule, Time now, std::uint64_t request, const std::string& server,
+                     const std::string& what) {
+  breaches_.push_back({rule, now, request, server, what});
+}
+
+void Checker::forget(std::uint64_t request) {
+  const auto it = open_.find(request);
+  if (it == open_.end() || !it->second.ended) return;
+  const auto& attempts = it->second.attempts;
+  if (std::none_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; })) open_.erase(it);
+}
+
+void Checker::taken(std::uint64_t request, const ochrehill::ClassSettings& set, Time deadline) {
+  open_[request] = Taken{set, deadline, false, {}};
+}
+
+void Checker::sent(Time now, std::uint32_t gateway, std::uint64_t request, std::uint32_t server,
+                   const ochrehill::HostEntry& entry) {
+  const auto closed = closedSince_.find(pair(gateway, server));
+  if (closed != closedSince_.end() && now - closed->second > figures_.drainGrace) {
+    char text[96];
+    std::snprintf(text, sizeof text, "sent %.3f s after gateway %u was told that it drains or is gone",
+                  inSeconds(now - closed->second), gateway);
+    breach(Rule::drain, now, request, entry.address, text);
+  }
+  const auto it = open_.find(request);
+  if (it == open_.end() || it->second.ended)
+    return breach(Rule::lost, now, request, entry.address, "sent after the request had ended");
+  Taken& t = it->second;
+  for (const Attempt& a : t.attempts) {
+    if (a.out && !figures_.parallelTries)
+      breach(Rule::duplicate, now, request, entry.address, "two attempts out at a time");
+    if (!a.mayHaveRun || t.set.effect == Effect::retryable) continue;
+    if (t.set.effect == Effect::fragile) {
+      breach(Rule::duplicate, now, request, entry.address, "sent again though it may have run");
+    } else if ((t.set.group == Group::zone && a.zone != entry.zone) ||
+               (t.set.group == Group::cell && a.cell != entry.cell)) {
+      breach(Rule::duplicate, now, request, entry.address, "repeated outside the group of its first server");
+    } else if (now > a.at + t.set.window) {
+      breach(Rule::duplicate, now, request, entry.address, "repeated past the window");
+    }
+  }
+  t.attempts.push_back({server, entry.zone, entry.cell, now});
+}
+
+void Checker::outcome(std::uint64_t request, std::uint32_t attempt, Outcome outcome) {
+  const auto it = open_.find(request);
+  if (it == open_.end() || attempt >= it->second.attempts.size()) return;
+  Attempt& a = it->second.attempts[attempt];
+  a.out = false;
+  if (outcome == Outcome::full || outcome == Outcome::connectFailed || outcome == Outcome::moot)
+    a.mayHaveRun = false;
+  forget(request);
+}
+
+void Checker::answered(Time now, std::uint64_t request, bool refused) {
+  const auto it = open_.find(request);
+  if (it == open_.end() || it->second.ended) return;
+  Taken& t = it->second;
+  if (now > t.deadline + figures_.answerSlack)
+    breach(Rule::lost, now, request, "", "answered after its time");
+  if (refused && t.set.effect != Effect::retryable &&
+      !(t.set.effect == Effect::dedup && t.set.group == Group::all))
+    for (const Attempt& a : t.attempts)
+      if (a.mayHaveRun) {
+        breach(Rule::duplicate, now, request, "", "refused though it may have run");
+        break;
+      }
+  t.ended = true;
+  forget(request);
+}
+
+void Checker::served(std::uint64_t request) {
+  const auto it = open_.find(request);
+  if (it == open_.end()) return;
+  it->second.ended = true;
+  forget(request);
+}
+
+void Checker::due(Time now, std::uint64_t request) {
+  const auto it = open_.find(request);
+  if (it == open_.end() || it->second.ended) return;
+  breach(Rule::lost, now, request, "", "no answer in its time");
+  it->second.ended = true;
+  forget(request);
+}
+
+void Checker::told(Time now, std::uint32_t gateway, std::uint32_t server, Phase phase) {
+  if (phase == Phase::in) closedSince_.erase(pair(gateway, server));
+  else closedSince_.emplace(pair(gateway, server), now);
+}
+
+void Checker::restarted(std::uint32_t gateway) {
+  std::erase_if(closedSince_, [&](const auto& e) { return e.first >> 32 == gateway; });
+}
+
+void Checker::fell(Time now, const std::string& server, double informed) {
+  char text[96];
+  std::snprintf(text, sizeof text, "cold server pushed over, %.0f %% of the work by gateways that knew",
+                100 * informed);
+  if (informed >= 2.0 / 3) breach(Rule::fall, now, 0, server, text);
+}
+
+}  // namespace hollyrun::lab
--- /dev/null
+++ b/src/lab/checker.hpp
@@ -0,0 +1,81 @@
+// The four rules of the platform, watched from outside the gateways. It is told what happens and keeps books
+// of its own, so that no fault of a policy or of the model hides a broken rule.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "lab/server.hpp"
+#include "ochrehill/ochrehill.hpp"
+
+namespace hollyrun::lab {
+
+enum class Rule { lost, duplicate, drain, fall };
+const char* nameOf(Rule rule);
+
+struct Breach {
+  Rule rule = Rule::lost;
+  Time at{};
+  std::uint64_t request = 0;  // 0: none
+  std::string server;
+  std::string what;
+};
+
+struct RuleFigures {
+  Duration answerSlack{}, drainGrace{};
+  bool parallelTries = false;
+};
+
+class Checker {
+ public:
+  explicit Checker(RuleFigures figures) : figures_(figures) {}
+
+  /// A gateway has taken a request; it is owed an answer by `deadline`.
+  void taken(std::uint64_t request, const ochrehill::ClassSettings& set, Time deadline);
+  void sent(Time now, std::uint32_t gateway, std::uint64_t request, std::uint32_t server,
+            const ochrehill::HostEntry& entry);
+  void outcome(std::uint64_t request, std::uint32_t attempt, ochrehill::Outcome outcome);
+  /// The gateway's own final answer: refused or failed.
+  void answered(Time now, std::uint64_t request, bool refused);
+  /// An outcome that ended the request has reached the gateway.
+  void served(std::uint64_t request);
+  /// The gateway is gone and owes nothing more.
+  void released(std::uint64_t request) { open_.erase(request); }
+  /// To be called once the answer's time is over.
+  void due(Time now, std::uint64_t request);
+  void told(Time now, std::uint32_t gateway, std::uint32_t server, ochrehill::Phase phase);
+  /// A gateway starts afresh, with what it is told from here on.
+  void restarted(std::uint32_t gateway);
+  /// A cold server fell over; the share of its work that came from gateways that knew of its start.
+  void fell(Time now, const std::string& server, double informed);
+
+  const std::vector<Breach>& breaches() const { return breaches_; }
+
+ private:
+  struct Attempt {
+    std::uint32_t server;
+    std::string zone;
+    std::int64_t cell;
+    Time at;
+    bool out = true, mayHaveRun = true;
+  };
+  struct Taken {
+    ochrehill::ClassSettings set;
+    Time deadline;
+    bool ended = false;
+    std::vector<Attempt> attempts;
+  };
+  void breach(Rule rule, Time now, std::uint64_t request, const std::string& server, const std::string& what);
+  static std::uint64_t pair(std::uint32_t gateway, std::uint32_t server) {
+    return static_cast<std::uint64_t>(gateway) << 32 | server;
+  }
+  void forget(std::uint64_t request);
+
+  RuleFigures figures_;
+  std::unordered_map<std::uint64_t, Taken> open_;
+  std::unordered_map<std::uint64_t, Time> closedSince_;  // (gateway, server) told as draining or gone
+  std::vector<Breach> breaches_;
+};
+
+}  // namespace hollyrun::lab
--- /dev/null
+++ b/src/lab/policy.cpp
@@ -0,0 +1,254 @@
+#include "lab/policy.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <queue>
+#include <stdexcept>
+#include <unordered_map>
+
+#include "lab/random.hpp"
+
+namespace hollyrun::lab {
+
+using namespace ochrehill;
+
+namespace {
+
+class ModulePolicy final : public Policy {
+ public:
+  ModulePolicy(const Settings& settings, Time now) : balancer_(settings, now) {}
+  void onSettings(Time now, const Settings& settings) override { balancer_.onSettings(now, settings); }
+  void onHosts(Time now, ListKind kind, const std::vector<HostEntry>& entries) override {
+    balancer_.onHosts(now, kind, entries);
+  }
+  void onRequest(Time now, const Request& request) override { balancer_.onRequest(now, request); }
+  void onResult(Time now, const AttemptResult& result) override { balancer_.onResult(now, result); }
+  void onClientGone(Time now, RequestId request) override { balancer_.onClientGone(now, request); }
+  void onWake(Time now) override { balancer_.onWake(now); }
+  std::vector<Action>& actions() override { return balancer_.actions(); }
+  HostId findHost(std::string_view address) const override { return balancer_.findHost(address); }
+  const std::string& address(HostId host) const override { return balancer_.address(host); }
+  double cutoff() const override { return balancer_.cutoff(); }
+
+ private:
+  Balancer balancer_;
+};
+
+// What the plain policies have in common: they keep the rules on repeats, drains and answers, take cold hosts
+// by a part of their draws, send again while the class permits, and differ in the host that they choose.
+class Plain : public Policy {
+ public:
+  Plain(const Settings& settings, const Truth& truth)
+      : set_(settings), truth_(truth), random_(settings.seed, "plain") {}
+
+  void onSettings(Time, const Settings& settings) override { set_ = settings; }
+  void onHosts(Time, ListKind kind, const std::vector<HostEntry>& entries) override {
+    if (kind == ListKind::unavailable) return;
+    if (kind != ListKind::update)
+      for (Known& k : hosts_) k.entry.phase = Phase::out;
+    for (const HostEntry& e : entries) {
+      const auto [it, fresh] = ids_.emplace(e.address, static_cast<HostId>(hosts_.size()));
+      if (fresh) hosts_.emplace_back();
+      hosts_[it->second].entry = e;
+    }
+  }
+  void onRequest(Time now, const Request& q) override {
+    const ClassSettings& c = set_.classes[std::min<std::size_t>(q.classIndex, set_.classes.size() - 1)];
+    Held& h = held_[q.id] = Held{c, now + q.left, 0, false, {}};
+    due_.push({h.deadline, q.id});
+    actions_.push_back({ActionKind::wake, 0, 0, kNone, h.deadline, {}});
+    if (!send(now, q.id, h)) give(q.id, h);
+  }
+  void onResult(Time now, const AttemptResult& r) override {
+    const auto it = held_.find(r.request);
+    hosts_[r.host].held -= 1;
+    if (it == held_.end()) return;
+    Held& h = it->second;
+    --h.out;
+    if (r.outcome == Outcome::full || r.outcome == Outcome::connectFailed || r.outcome == Outcome::moot)
+      h.tries[r.attempt].mayHaveRun = false;
+    if (r.terminal) h.ended = true;
+    if (!h.ended && h.out == 0 &&
+        (now >= h.deadline || r.outcome == Outcome::moot || !send(now, r.request, h)))
+      return give(r.request, h);
+    if (h.ended && h.out == 0) held_.erase(it);
+  }
+  void onClientGone(Time, RequestId id) override {
+    const auto it = held_.find(id);
+    if (it == held_.end()) return;
+    it->second.ended = true;
+    if (it->second.out == 0) held_.erase(it);
+  }
+  void onWake(Time now) override {
+    for (; !due_.empty() && due_.top().first <= now; due_.pop()) {
+      const auto it = held_.find(due_.top().second);
+      if (it != held_.end() && !it->second.ended) give(it->first, it->second);
+    }
+  }
+  std::vector<Action>& actions() override { return actions_; }
+  HostId findHost(std::string_view address) const override {
+    const auto it = ids_.find(std::string(address));
+    return it == ids_.end() ? kNone : it->second;
+  }
+  const std::string& address(HostId host) const override { return hosts_.at(host).entry.address; }
+
+ protected:
+  struct Known {
+    HostEntry entry;
+    int held = 0;
+  };
+  /// One of `from`, not empty; kNone refuses the request.
+  virtual HostId choose(Time now, const std::vector<HostId>& from, Time deadline) = 0;
+
+  Settings set_;
+  const Truth& truth_;
+  Stream random_;
+  std::vector<Known> hosts_;
+
+ private:
+  struct Sent {
+    HostId host;
+    Time at;
+    bool mayHaveRun = true;
+  };
+  struct Held {
+    ClassSettings set;
+    Time deadline;
+    int out = 0;
+    bool ended = false;
+    std::vector<Sent> tries;
+  };
+  bool allowed(Time now, const Held& h, const HostEntry& e) const {
+    for (const Sent& s : h.tries) {
+      if (!s.mayHaveRun || h.set.effect == Effect::retryable) continue;
+      if (h.set.effect == Effect::fragile) return false;
+      const HostEntry& first = hosts_[s.host].entry;
+      if (h.set.group != Group::all && first.zone != e.zone) return false;
+      if (h.set.group == Group::cell && first.cell != e.cell) return false;
+      if (now > s.at + h.set.window) return false;
+    }
+    return true;
+  }
+  bool send(Time now, RequestId id, Held& h) {
+    if (h.tries.size() >= set_.maxAttempts || now >= h.deadline) return false;
+    std::vector<HostId> from;
+    for (HostId i = 0; i < hosts_.size(); ++i) {
+      const HostEntry& e = hosts_[i].entry;
+      if (e.phase != Phase::in || !allowed(now, h, e)) continue;
+      const double age = e.upSince > Time{} ? std::chrono::duration<double>(now - e.upSince).count() : 1e9;
+      const double whole = std::max(std::chrono::duration<double>(set_.coldTime).count(), 1e-9);
+      if (age >= whole || random_.chance(set_.coldShare + (1 - set_.coldShare) * age / whole))
+        from.push_back(i);
+    }
+    const HostId host = from.empty() ? kNone : choose(now, from, h.deadline);
+    if (host == kNone) return false;
+    actions_.push_back(
+        {ActionKind::send, id, static_cast<std::uint32_t>(h.tries.size()), host, h.deadline - now, {}});
+    h.tries.push_back({host, now});
+    hosts_[host].held += 1;
+    ++h.out;
+    return true;
+  }
+  void give(RequestId id, Held& h) {
+    const bool mayHaveRun =
+        std::any_of(h.tries.begin(), h.tries.end(), [](const Sent& s) { return s.mayHaveRun; });
+    const bool harmless = !mayHaveRun || h.set.effect == Effect::retryable;
+    actions_.push_back({harmless ? ActionKind::refuse : ActionKind::fail, id, 0, kNone, {}, {}});
+    h.ended = true;
+    if (h.out == 0) held_.erase(id);
+  }
+
+  std::vector<Action> actions_;
+  std::map<RequestId, Held> held_;
+  std::unordered_map<std::string, HostId> ids_;
+  using Due = std::pair<Time, RequestId>;
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
+};
+
+class RandomPolicy final : public Plain {
+ public:
+  using Plain::Plain;
+  HostId choose(Time, const std::vector<HostId>& from, Time) override {
+    return from[random_.below(from.size())];
+  }
+};
+
+class LeastPolicy final : public Plain {
+ public:
+  using Plain::Plain;
+  HostId choose(Time, const std::vector<HostId>& from, Time) override {
+    int least = std::numeric_limits<int>::max();
+    std::vector<HostId> best;
+    for (HostId id : from) {
+      if (hosts_[id].held < least) best.clear();
+      least = std::min(least, hosts_[id].held);
+      if (hosts_[id].held == least) best.push_back(id);
+    }
+    return best[random_.below(best.size())];
+  }
+};
+
+class TwoPolicy final : public Plain {
+ public:
+  using Plain::Plain;
+  HostId choose(Time, const std::vector<HostId>& from, Time) override {
+    const HostId a = from[random_.below(from.size())], b = from[random_.below(from.size())];
+    return hosts_[a].held <= hosts_[b].held ? a : b;
+  }
+};
+
+// Sees the true state: the server that would be done first, and none if none would be in time.
+class TruthPolicy final : public Plain {
+ public:
+  using Plain::Plain;
+  HostId choose(Time now, const std::vector<HostId>& from, Time deadline) override {
+    double first = std::chrono::duration<double>(deadline - now).count();
+    HostId best = kNone;
+    for (HostId id : from) {
+      const double takes = truth_.secondsToServe(hosts_[id].entry.address, kWork);
+      if (takes < first) first = takes, best = id;
+    }
+    return best;
+  }
+
+ private:
+  static constexpr double kWork = 0.05;  // seconds: about a usual request
+};
+
+template <class Kind>
+std::unique_ptr<Policy> plain(const Settings& settings, Time, const Truth& truth) {
+  return std::make_unique<Kind>(settings, truth);
+}
+
+const std::map<std::string, PolicyMaker>& makers() {
+  static const std::map<std::string, PolicyMaker> all{
+      {"module",
+       [](const Settings& s, Time now, const Truth&) -> std::unique_ptr<Policy> {
+         return std::make_unique<ModulePolicy>(s, now);
+       }},
+      {"random", plain<RandomPolicy>},
+      {"least", plain<LeastPolicy>},
+      {"two", plain<TwoPolicy>},
+      {"truth", plain<TruthPolicy>}};
+  return all;
+}
+
+}  // namespace
+
+PolicyMaker policyNamed(const std::string& name) {
+  const auto it = makers().find(name);
+  if (it == makers().end()) throw std::invalid_argument("no policy '" + name + "'");
+  return it->second;
+}
+
+const std::vector<std::string>& policyNames() {
+  static const std::vector<std::string> names = [] {
+    std::vector<std::string> all;
+    for (const auto& [name, maker] : makers()) all.push_back(name);
+    return all;
+  }();
+  return names;
+}
+
+}  // namespace hollyrun::lab
--- /dev/null
+++ b/src/lab/policy.hpp
@@ -0,0 +1,46 @@
+// What decides in a gateway of the model: the decision module itself, or a plain policy to compare it with.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "ochrehill/ochrehill.hpp"
+
+namespace hollyrun::lab {
+
+/// One gateway's decisions. The calls are those of ochrehill::Balancer and mean the same.
+class Policy {
+ public:
+  virtual ~Policy() = default;
+  virtual void onSettings(ochrehill::Time now, const ochrehill::Settings& settings) = 0;
+  virtual void onHosts(ochrehill::Time now, ochrehill::ListKind kind,
+                       const std::vector<ochrehill::HostEntry>& entries) = 0;
+  virtual void onRequest(ochrehill::Time now, const ochrehill::Request& request) = 0;
+  virtual void onResult(ochrehill::Time now, const ochrehill::AttemptResult& result) = 0;
+  virtual void onClientGone(ochrehill::Time now, ochrehill::RequestId request) = 0;
+  virtual void onWake(ochrehill::Time now) = 0;
+  virtual std::vector<ochrehill::Action>& actions() = 0;
+  virtual ochrehill::HostId findHost(std::string_view address) const = 0;
+  virtual const std::string& address(ochrehill::HostId host) const = 0;
+  virtual double cutoff() const { return 0; }  ///< 0 to 100
+};
+
+/// The true state of the servers, for the policy that sees it.
+class Truth {
+ public:
+  virtual ~Truth() = default;
+  /// Seconds until a request sent now would be served, by true speed, state and backlog; infinite if it would
+  /// not be.
+  virtual double secondsToServe(const std::string& address, double work) const = 0;
+};
+
+using PolicyMaker =
+    std::function<std::unique_ptr<Policy>(const ochrehill::Settings&, ochrehill::Time, const Truth&)>;
+
+/// module, random, least, two, truth. Throws std::invalid_argument on another name.
+PolicyMaker policyNamed(const std::string& name);
+const std::vector<std::string>& policyNames();
+
+}  // namespace hollyrun::lab
--- /dev/null
+++ b/src/lab/world.cpp
@@ -0,0 +1,1276 @@
+#include "lab/world.hpp"
+
+#include <algorithm>
+#include <boost/histogram.hpp>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <limits>
+#include <queue>
+#include <stdexcept>
+#include <unordered_map>
+
+namespace hollyrun::lab {
+
+using namespace ochrehill;
+
+namespace {
+
+constexpr Time kStart = std::chrono::seconds(100);  // zero would read as "long past"
+constexpr Duration kServerTick = std::chrono::milliseconds(50);
+constexpr Duration kSample = std::chrono::milliseconds(250);
+constexpr std::uint32_t kNobody = UINT32_MAX;
+
+enum class Happens : std::uint8_t {
+  clientTry,   // a: call
+  arrive,      // a: try, reaches its gateway
+  due,         // a: try, its answer's time is over
+  atServer,    // a: attempt
+  serverDone,  // a: server, b: turn
+  tick,        // a: server
+  atGateway,   // a: attempt, its outcome arrives
+  timeout,     // a: attempt
+  wake,        // a: gateway, b: its life
+  tell,        // a: gateway, b: list change
+  call,        // a: in calls_
+  sample
+};
+
+struct Event {
+  Time at;
+  std::uint64_t order;
+  Happens what;
+  std::uint32_t a, b;
+  bool operator>(const Event& o) const { return at != o.at ? at > o.at : order > o.order; }
+};
+
+enum class CallEnd : std::uint8_t { open, inTime, late, refused, failed };
+
+struct Call {  // of a client: its first try and its retries
+  Time first{};
+  std::uint32_t cls = 0, zone = 0;
+  std::uint64_t key = 0;
+  double work = 0, worth = 0;
+  std::uint8_t left = 0, tries = 0;
+  CallEnd end = CallEnd::open;
+  Time endAt{};
+};
+
+struct Try {
+  std::uint32_t call = 0, gateway = 0, life = 0;
+  Time deadline{};
+  bool ended = false;
+  std::uint8_t attempts = 0;
+  std::array<std::uint32_t, 8> ids{};
+};
+
+struct Attempt {
+  std::uint32_t of = 0, server = 0;
+  Time at{};
+  std::uint8_t number = 0;
+  bool out = true, fresh = false, connected = false;
+  Outcome outcome = Outcome::served;
+  std::uint32_t epoch = 0;
+};
+
+struct Pool {  // a gateway's connections to one server
+  std::vector<Time> idle;
+  std::uint32_t epoch = 0;
+};
+
+struct Gateway {
+  std::string name;
+  std::uint32_t zone = 0, life = 0;
+  bool up = false, known = false;  // known: the front takes it for up
+  std::unique_ptr<Policy> policy;
+  std::vector<std::uint32_t> serverOf;  // by HostId
+  std::vector<Pool> pools;              // by server
+  std::vector<std::uint32_t> open;      // tries not ended
+  std::vector<Phase> told;              // by server
+  std::vector<Time> toldStart;          // by server: the start that it was told
+  Time lastTold{};
+  double weight = 1;
+};
+
+struct Machine {
+  HostEntry entry;
+  Server server;
+  std::uint32_t zone = 0, epoch = 0, turn = 0;
+  bool reachable = true, up = true, draining = false, leftSilently = false;
+  double slow = 1, errors = 0, resets = 0;
+  int paused = 0;
+};
+
+struct Change {
+  std::uint32_t server;
+  HostEntry entry;
+};
+
+class World final : public Truth {
+ public:
+  World(const Scenario& scenario, std::uint64_t seed, const PolicyMaker& maker)
+      : s_(scenario),
+        seed_(seed),
+        maker_(maker),
+        day_(seed, "day"),
+        network_(seed, "network"),
+        notices_(seed, "notices"),
+        trouble_(seed, "trouble"),
+        checker_({millis(s_.answerSlackMs), millis(s_.drainGraceMs), s_.secondCopies}),
+        latency_(boost::histogram::make_histogram(
+            boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(2000, 0.1,
+                                                                                            1e5))) {}
+
+  Result play() {
+    drawDay();
+    drawServers();
+    drawGateways();
+    drawTroubles();
+    drawArrivals();
+    at(kStart, Happens::sample);
+    const Time last = kStart + secs(s_.lengthS) + secs(longest_ + 1);
+    while (!events_.empty() && events_.top().at <= last) {
+      const Event e = events_.top();
+      events_.pop();
+      now_ = e.at;
+      ++result_.events;
+      happen(e);
+    }
+    settle();
+    return std::move(result_);
+  }
+
+  double secondsToServe(const std::string& address, double work) const override {
+    const Machine& m = machines_[byAddress_.at(address)];
+    if (!m.reachable || !m.up || m.draining || m.paused > 0 || m.server.waiting() >= m.server.figures().room)
+      return std::numeric_limits<double>::infinity();
+    const double able = m.server.capacity(), core = able / m.server.figures().cores;
+    return m.server.backlog() / able + work / core;
+  }
+
+ private:
+  static Duration secs(double s) { return lab::seconds(s); }
+  static Duration millis(double ms) { return lab::seconds(ms / 1000); }
+  double sinceStart(Time t) const { return inSeconds(t - kStart); }
+
+  void at(Time when, Happens what, std::uint32_t a = 0, std::uint32_t b = 0) {
+    events_.push({std::max(when, now_), order_++, what, a, b});
+  }
+  void at(Time when, std::function<void()> call) {
+    calls_.push_back(std::move(call));
+    at(when, Happens::call, static_cast<std::uint32_t>(calls_.size() - 1));
+  }
+  /// When a gateway handles what reaches it then: its next tick.
+  Time door(Time when) const {
+    if (tick_ <= Duration(0)) return when;
+    const auto rest = when.count() % tick_.count();
+    return rest == 0 ? when : when + tick_ - Duration(rest);
+  }
+  void note(const std::string& text) {
+    char when[32];
+    std::snprintf(when, sizeof when, "%8.3f s  ", sinceStart(now_));
+    result_.happened.push_back(when + text);
+  }
+
+  // --- Drawing the day ----------------------------------------------------------------------------------
+
+  void drawDay() {
+    tick_ = millis(s_.tickMs);
+    pace_ = s_.pace.draw(day_);
+    level_ = s_.level.draw(day_);
+    swing_ = s_.swing.draw(day_);
+    period_ = s_.periodS.draw(day_);
+    sameHop_ = s_.sameMs.draw(day_) / 1000;
+    crossHop_ = s_.crossMs.draw(day_) / 1000;
+    clientHop_ = s_.clientMs.draw(day_) / 1000;
+    jitter_ = s_.jitter.draw(day_);
+    retries_ = static_cast<unsigned>(std::lround(s_.retries.draw(day_)));
+    tryShare_ = s_.tryShare.draw(day_);
+    backoff_ = s_.backoffMs.draw(day_) / 1000;
+    honour_ = s_.honour.draw(day_);
+    handshakeRtts_ = s_.handshakeRtts.draw(day_);
+    handshakeWork_ = s_.handshakeUs.draw(day_) * 1e-6;
+    chokes_ = day_.chance(s_.chokeShare.draw(day_));
+    period_s_ = s_.periodMs.draw(day_) / 1000;
+    const double keys = std::round(s_.keys.draw(day_)), zipf = s_.keyZipf.draw(day_);
+    for (double k = 1; k <= keys; ++k)
+      keyWeights_.push_back((keyWeights_.empty() ? 0 : keyWeights_.back()) + std::pow(k, -zipf));
+    double classSum = 0, zoneSum = 0;
+    for (const RequestClass& c : s_.classes) {
+      Drawn d;
+      d.set = c.set;
+      d.set.aim =
+          ochrehill::Duration(static_cast<std::int64_t>(static_cast<double>(c.set.aim.count()) * pace_));
+      d.set.giveUp =
+          ochrehill::Duration(static_cast<std::int64_t>(static_cast<double>(c.set.giveUp.count()) * pace_));
+      d.share = c.share.draw(day_);
+      d.work = c.workMs.draw(day_) / 1000 * pace_;
+      d.cv = c.cv.draw(day_);
+      d.noise = c.attemptNoise.draw(day_);
+      longest_ = std::max(longest_, inSeconds(d.set.giveUp));
+      classSum += d.share;
+      classes_.push_back(d);
+      ClassRecord record;
+      record.name = d.set.name;
+      result_.classes.push_back(record);
+    }
+    for (Drawn& d : classes_) {
+      d.share /= classSum;
+      meanWork_ += d.share * d.work;
+    }
+    const double skew = s_.zoneSkew.draw(day_);
+    for (std::size_t z = 0; z < s_.zones.size(); ++z) {
+      zoneShare_.push_back(1 + skew * (2 * day_.unit() - 1) * 1.5);
+      zoneSum += zoneShare_.back();
+    }
+    for (double& z : zoneShare_) z /= zoneSum;
+  }
+
+  void drawServers() {
+    Stream fleet(seed_, "servers");
+    const auto count = static_cast<std::size_t>(std::lround(s_.servers.draw(fleet)));
+    cellSize_ = static_cast<std::size_t>(std::max(1L, std::lround(s_.cellSize.draw(fleet))));
+    std::vector<double> shares;
+    double sum = 0;
+    for (const MachineKind& k : s_.kinds) sum += shares.emplace_back(k.share.draw(fleet));
+    std::vector<std::size_t> kinds;  // largest remainders, then shuffled
+    std::vector<std::pair<double, std::size_t>> rest;
+    for (std::size_t k = 0; k < shares.size(); ++k) {
+      const double exact = shares[k] / sum * static_cast<double>(count);
+      for (double i = 1; i <= exact; ++i) kinds.push_back(k);
+      rest.emplace_back(std::floor(exact) - exact, k);
+    }
+    std::sort(rest.begin(), rest.end());
+    for (std::size_t i = 0; kinds.size() < count; ++i) kinds.push_back(rest[i % rest.size()].second);
+    for (std::size_t i = kinds.size(); i > 1; --i) std::swap(kinds[i - 1], kinds[fleet.below(i)]);
+    for (const MachineKind& k : s_.kinds) {
+      KindDrawn d;
+      d.speed = k.speed.draw(fleet);
+      d.cv = k.speedCv.draw(fleet);
+      d.expired = fleet.chance(k.dropsExpired.draw(fleet));
+      d.cancelled = fleet.chance(k.dropsCancelled.draw(fleet));
+      kindsDrawn_.push_back(d);
+    }
+    for (std::size_t i = 0; i < count; ++i)
+      addMachine(kinds[i], static_cast<std::uint32_t>(i % s_.zones.size()), i / cellSize_);
+    for (const Machine& m : machines_) capacity_ += m.server.figures().cores * m.server.figures().speed;
+  }
+
+  std::uint32_t addMachine(std::size_t kind, std::uint32_t zone, std::size_t cell) {
+    const auto number = static_cast<std::uint32_t>(machines_.size());
+    Stream draw(seed_, "machine", number);
+    const MachineKind& k = s_.kinds[kind];
+    ServerFigures f;
+    f.cores = std::round(k.cores.draw(draw));
+    f.speed = kindsDrawn_[kind].speed * draw.lognormal(1, kindsDrawn_[kind].cv);
+    f.slots = static_cast<std::size_t>(std::max(1.0, std::round(f.cores * k.slots.draw(draw))));
+    f.room = static_cast<std::size_t>(std::round(f.cores * k.queue.draw(draw)));
+    f.thrash = k.thrash.draw(draw);
+    f.thrashAt = k.thrashAt.draw(draw);
+    f.coldFrom = k.coldFrom.draw(draw);
+    f.coldS = k.coldS.draw(draw);
+    f.errorRate = k.errorRate.draw(draw);
+    f.dropsExpired = kindsDrawn_[kind].expired;
+    f.dropsCancelled = kindsDrawn_[kind].cancelled;
+    f.connectionCap = f.cores * s_.capPerCore.draw(draw);
+    f.fullTax = s_.fullTax.draw(draw);
+    f.chokes = chokes_;
+    f.chokeAt = s_.chokeAt.draw(draw);
+    f.chokeOverS = s_.chokeOverS.draw(draw);
+    f.chokeSlower = s_.chokeSlower.draw(draw);
+    f.chokeRestS = s_.chokeRestS.draw(draw);
+    f.chokeBelow = s_.chokeBelow.draw(draw);
+    f.chokeMostS = s_.chokeMostS.draw(draw);
+    f.warmGain = s_.warmGain.draw(draw);
+    f.warmKeepS = s_.warmKeepS.draw(draw);
+    f.warmKeys = static_cast<std::size_t>(std::max(1.0, f.cores * s_.warmKeysPerCore.draw(draw)));
+    Machine m{HostEntry{}, Server(f)};
+    // Addresses in no order of number: they tell nothing of zone, kind or age.
+    char address[48];
+    const auto bits = draw.engine()();
+    std::snprintf(address, sizeof address, "10.%u.%u.%u:%u", static_cast<unsigned>(bits & 255),
+                  static_cast<unsigned>(bits >> 8 & 255), static_cast<unsigned>(bits >> 16 & 255),
+                  10000 + number);
+    m.entry.address = address;
+    m.entry.zone = s_.zones[zone];
+    m.entry.kind = k.name;
+    m.entry.cell = static_cast<std::int64_t>(cell);
+    m.zone = zone;
+    byAddress_[address] = number;
+    kindOf_.push_back(kind);
+    machines_.push_back(std::move(m));
+    machines_.back().server.advance(now_);
+    at(std::max(now_, kStart) + Duration(kServerTick.count() * (number % 16) / 16), Happens::tick, number);
+    ServerRecord record;
+    record.address = address;
+    record.zone = s_.zones[zone];
+    record.kind = k.name;
+    record.cores = f.cores;
+    record.speed = f.speed;
+    // Its record begins with the day, so that all lie on one clock.
+    record.held.assign(samples_, 0);
+    record.states.assign(samples_, ServerState::gone);
+    result_.servers.push_back(record);
+    published_.push_back(machines_.back().entry);
+    publishedIn_.push_back(now_ <= kStart);
+    return number;
+  }
+
+  void drawGateways() {
+    Stream fleet(seed_, "gateways");
+    const auto count = static_cast<std::uint32_t>(std::lround(s_.gateways.draw(fleet)));
+    const double spread = s_.startSpreadMs.draw(fleet);
+    settings_.groupSize = count;
+    for (const Drawn& d : classes_) settings_.classes.push_back(d.set);
+    settings_.parallelTries = s_.secondCopies;
+    settings_.warmKeys = s_.warmKeys;
+    settings_.retryAfter = s_.retryAfter;
+    settings_.cancel = s_.cancel;
+    settings_.maxAttempts = s_.maxAttempts;
+    settings_.idleClose = secs(s_.idleS);
+    settings_.maxRetryAfter = millis(s_.maxRetryAfterMs);
+    settings_.step = tick_;
+    settings_.coldTime = secs(s_.coldRuleS);
+    settings_.coldShare = s_.coldShare;
+    settings_.fallMultiple = s_.fallMultiple;
+    settings_.fallWindow = millis(s_.fallMs);
+    gateways_.resize(count);
+    for (std::uint32_t g = 0; g < count; ++g) {
+      gateways_[g].name = "gateway-" + std::to_string(g);
+      gateways_[g].zone = g % static_cast<std::uint32_t>(s_.zones.size());
+      gateways_[g].weight = fleet.uniform(0.8, 1.2);
+      at(kStart + millis(fleet.uniform(0, spread)), [this, g] { startGateway(g, true); });
+    }
+  }
+
+  void drawArrivals() {
+    const double base = level_ * capacity_ / meanWork_;
+    Stream when(seed_, "arrivals"), which(seed_, "calls");
+    const double phase = when.unit();
+    std::vector<double> bursts;  // of segments of a tenth of the period
+    for (double t = 0; t < s_.lengthS + period_; t += period_ / 10)
+      bursts.push_back(when.chance(0.5) ? 1 : -1);
+    const auto factor = [&](double t) {
+      double f = 1;
+      if (s_.shape == "wave") f += swing_ * std::sin(2 * M_PI * (t / period_ + phase));
+      else if (s_.shape == "bursty") f += swing_ * bursts[static_cast<std::size_t>(t / period_ * 10)];
+      for (const Surge& surge : surges_)
+        if (t >= surge.from && t < surge.to) f *= surge.size;
+      return f;
+    };
+    double most = 1 + swing_;
+    for (const Surge& surge : surges_) most *= std::max(surge.size, 1.0);
+    for (double t = 0;;) {
+      t += when.exponential(1 / std::max(base * most, 1e-9));
+      if (t >= s_.lengthS) break;
+      if (!when.chance(factor(t) / most)) continue;
+      Call c;
+      c.first = kStart + secs(t);
+      double pick = which.unit();
+      while (c.cls + 1 < classes_.size() && pick >= classes_[c.cls].share) pick -= classes_[c.cls++].share;
+      const Drawn& d = classes_[c.cls];
+      pick = which.unit();
+      while (c.zone + 1 < zoneShare_.size() && pick >= zoneShare_[c.zone]) pick -= zoneShare_[c.zone++];
+      c.work = d.cv > 0 ? which.lognormal(d.work, d.cv) : d.work;
+      c.worth = d.set.worth * c.work;
+      if (!keyWeights_.empty())
+        c.key = 1 + static_cast<std::uint64_t>(std::upper_bound(keyWeights_.begin(), keyWeights_.end(),
+                                                                which.unit() * keyWeights_.back()) -
+                                               keyWeights_.begin());
+      c.left = static_cast<std::uint8_t>(retries_);
+      calls0_.push_back(c);
+      at(c.first, Happens::clientTry, static_cast<std::uint32_t>(calls0_.size() - 1));
+    }
+    result_.seconds.resize(static_cast<std::size_t>(std::ceil(s_.lengthS)));
+  }
+
+  // --- Clients and gateways -----------------------------------------------------------------------------
+
+  Second& secondOf(Time t) {
+    const double s = std::clamp(sinceStart(t), 0.0, s_.lengthS - 1e-9);
+    return result_.seconds[std::min(static_cast<std::size_t>(s), result_.seconds.size() - 1)];
+  }
+
+  void clientTry(std::uint32_t id) {
+    Call& c = calls0_[id];
+    const Drawn& d = classes_[c.cls];
+    Duration left =
+        ochrehill::Duration(static_cast<std::int64_t>(static_cast<double>(d.set.giveUp.count()) * tryShare_));
+    left = std::min(left, d.set.giveUp - (now_ - c.first));
+    if (left <= Duration(0)) return leave(c, false);
+    Stream front(seed_, "front", static_cast<std::uint64_t>(id) * 32 + c.tries);
+    ++c.tries;
+    secondOf(c.first).tries += 1;
+    ++result_.tries;
+    double sum = 0;
+    std::uint32_t chosen = kNobody;
+    for (const bool own : {true, false}) {
+      for (std::uint32_t g = 0; g < gateways_.size(); ++g) {
+        if (!gateways_[g].known || (own && gateways_[g].zone != c.zone)) continue;
+        sum += gateways_[g].weight;
+        if (front.unit() * sum < gateways_[g].weight) chosen = g;
+      }
+      if (chosen != kNobody) break;
+    }
+    Try t;
+    t.call = id;
+    t.gateway = chosen;
+    if (chosen == kNobody || !gateways_[chosen].up) return retry(id, false, true, {});
+    t.life = gateways_[chosen].life;
+    const Time arrives = door(now_ + secs(clientHop_));
+    t.deadline = arrives + left;
+    tries_.push_back(t);
+    at(arrives, Happens::arrive, static_cast<std::uint32_t>(tries_.size() - 1));
+  }
+
+  void leave(Call& c, bool refused) {
+    c.end = refused ? CallEnd::refused : CallEnd::failed;
+    c.endAt = now_;
+  }
+
+  // After a try without success: the client comes again, or leaves it at that.
+  void retry(std::uint32_t id, bool refused, bool unreachable, Duration after) {
+    Call& c = calls0_[id];
+    const ClassSettings& set = settings_.classes[c.cls];
+    const bool may = set.effect == Effect::retryable || refused || unreachable ||
+                     (set.effect == Effect::dedup && set.group == Group::all);
+    Stream habit(seed_, "habit", static_cast<std::uint64_t>(id) * 32 + c.tries);
+    double wait = backoff_ + clientHop_ * 2;
+    if (after > Duration(0) && habit.chance(honour_)) wait = std::max(wait, inSeconds(after));
+    if (unreachable) wait = std::max(wait, 0.02);
+    if (!may || c.left == 0 || now_ + secs(wait) - c.first >= set.giveUp) return leave(c, refused);
+    --c.left;
+    at(now_ + secs(wait), Happens::clientTry, id);
+  }
+
+  Settings settingsOf(std::uint32_t g) {
+    Settings set = settings_;
+    set.number = g;
+    set.seed = Stream(seed_, "seed", static_cast<std::uint64_t>(g) * 64 + gateways_[g].life).engine()();
+    set.zone = s_.zones[gateways_[g].zone];
+    return set;
+  }
+
+  void startGateway(std::uint32_t g, bool first) {
+    Gateway& w = gateways_[g];
+    ++w.life;
+    w.up = w.known = true;
+    w.policy = maker_(settingsOf(g), now_, *this);
+    w.serverOf.clear();
+    w.pools.assign(machines_.size(), Pool{});
+    checker_.restarted(g);
+    std::vector<HostEntry> entries;
+    if (first) {
+      w.told.assign(machines_.size(), Phase::out);
+      w.toldStart.assign(machines_.size(), Time{});
+    }
+    for (std::uint32_t m = 0; m < machines_.size(); ++m) {
+      const bool in =
+          first ? static_cast<bool>(publishedIn_[m]) : m < w.told.size() && w.told[m] != Phase::out;
+      if (!in) continue;
+      HostEntry e = published_[m];
+      if (!first) e.phase = w.told[m], e.upSince = w.toldStart[m];
+      entries.push_back(e);
+      learn(g, m, e);
+    }
+    w.policy->onHosts(now_, ListKind::restored, entries);
+    carryOut(g);
+    at(now_ + std::chrono::milliseconds(20), [this, g, life = w.life] {
+      if (gateways_[g].life == life && gateways_[g].up) tellAll(g);
+    });
+  }
+
+  void killGateway(std::uint32_t g) {
+    Gateway& w = gateways_[g];
+    if (!w.up) return;
+    w.up = false;
+    for (std::uint32_t t : std::vector<std::uint32_t>(w.open)) {
+      if (tries_[t].ended) continue;
+      tries_[t].ended = true;
+      checker_.released(t + 1);
+      for (std::uint8_t i = 0; i < tries_[t].attempts; ++i) {
+        Attempt& a = attempts_[tries_[t].ids[i]];
+        if (a.out) a.out = false, hangUp(a, tries_[t].ids[i]);
+      }
+      retry(tries_[t].call, false, true, {});
+    }
+    w.open.clear();
+    for (std::size_t m = 0; m < w.pools.size(); ++m)
+      if (w.pools[m].epoch == machines_[m].epoch) lower(machines_[m], w.pools[m].idle.size());
+    w.pools.clear();
+    w.policy.reset();
+  }
+
+  static void lower(Machine& m, std::size_t connections) {
+    m.server.connections -= std::min(m.server.connections, connections);
+  }
+
+  void arrive(std::uint32_t id) {
+    Try& t = tries_[id];
+    Gateway& w = gateways_[t.gateway];
+    if (!w.up || w.life != t.life) return retry(t.call, false, true, {});
+    const Call& c = calls0_[t.call];
+    checker_.taken(id + 1, settings_.classes[c.cls], t.deadline);
+    w.open.push_back(id);
+    at(t.deadline + millis(s_.answerSlackMs) + Duration(1), Happens::due, id);
+    Request q;
+    q.id = id + 1;
+    q.classIndex = c.cls;
+    q.left = t.deadline - now_;
+    q.key = c.key;
+    q.hasKey = c.key != 0;
+    w.policy->onRequest(now_, q);
+    carryOut(t.gateway);
+  }
+
+  // The try is over, with success or without.
+  void end(std::uint32_t id, bool served, bool refused, Duration after) {
+    Try& t = tries_[id];
+    t.ended = true;
+    std::vector<std::uint32_t>& open = gateways_[t.gateway].open;
+    const auto found = std::find(open.rbegin(), open.rend(), id);
+    if (found != open.rend()) *found = open.back(), open.pop_back();
+    Call& c = calls0_[t.call];
+    if (!served) {
+      (refused ? secondOf(now_).refused : secondOf(now_).failed) += 1;
+      return retry(t.call, refused, false, after);
+    }
+    if (c.end != CallEnd::open) return;
+    const Duration taken = now_ - c.first - secs(clientHop_);
+    c.end = taken <= classes_[c.cls].set.aim ? CallEnd::inTime : CallEnd::late;
+    if (c.first >= kStart + secs(s_.warmS)) latency_(std::clamp(inSeconds(taken) * 1000, 0.11, 9e4));
+  }
+
+  void carryOut(std::uint32_t g) {
+    Gateway& w = gateways_[g];
+    // A cancel settles its attempt at once, and the policy may have something to say to that.
+    while (!w.policy->actions().empty()) {
+      std::vector<Action> actions;
+      actions.swap(w.policy->actions());
+      for (const Action& a : actions) carryOut(g, a);
+    }
+  }
+
+  void carryOut(std::uint32_t g, const Action& a) {
+    Gateway& w = gateways_[g];
+    {
+      switch (a.kind) {
+        case ActionKind::send: send(g, a); break;
+        case ActionKind::refuse:
+        case ActionKind::fail: {
+          const std::uint32_t id = tryOf(a.request, "answered");
+          if (tries_[id].ended) break;
+          const bool refused = a.kind == ActionKind::refuse;
+          checker_.answered(now_, a.request, refused);
+          end(id, false, refused, s_.retryAfter ? std::min(a.span, millis(s_.maxRetryAfterMs)) : Duration(0));
+          break;
+        }
+        case ActionKind::cancel: {
+          const Try& t = tries_[tryOf(a.request, "cancelled")];
+          if (a.attempt >= t.attempts) throw std::logic_error("an attempt was cancelled that was never made");
+          finishAttempt(t.ids[a.attempt], Outcome::cancelled, true);
+          break;
+        }
+        case ActionKind::close: {
+          const std::uint32_t m = serverOf(g, a.host);
+          if (m < w.pools.size()) {
+            if (w.pools[m].epoch == machines_[m].epoch) lower(machines_[m], w.pools[m].idle.size());
+            w.pools[m].idle.clear();
+          }
+          break;
+        }
+        case ActionKind::wake:
+          at(door(std::max(a.span, now_ + Duration(1))), Happens::wake, g, w.life);
+          break;
+        case ActionKind::subscribe:
+        case ActionKind::log: break;
+      }
+    }
+  }
+
+  std::uint32_t tryOf(RequestId request, const char* what) const {
+    if (request == 0 || request > tries_.size())
+      throw std::logic_error("a request was " + std::string(what) + " that no client sent");
+    return static_cast<std::uint32_t>(request - 1);
+  }
+
+  std::uint32_t serverOf(std::uint32_t g, HostId host) {
+    Gateway& w = gateways_[g];
+    if (host >= w.serverOf.size()) w.serverOf.resize(host + 1, kNobody);
+    if (w.serverOf[host] == kNobody) w.serverOf[host] = byAddress_.at(w.policy->address(host));
+    return w.serverOf[host];
+  }
+
+  // --- Attempts -------------------------------------------------------------------------------------------
+
+  bool cut(std::uint32_t zone) const { return cutZone_ == zone; }
+  bool reachable(std::uint32_t g, const Machine& m) const {
+    return m.reachable && !(gateways_[g].zone != m.zone && (cut(gateways_[g].zone) || cut(m.zone)));
+  }
+  Duration hop(std::uint32_t g, const Machine& m) {
+    const double base = gateways_[g].zone == m.zone ? sameHop_ : crossHop_;
+    return secs(base * (1 + network_.exponential(jitter_)));
+  }
+
+  void send(std::uint32_t g, const Action& action) {
+    const std::uint32_t id = tryOf(action.request, "sent");
+    Try& t = tries_[id];
+    const std::uint32_t server = serverOf(g, action.host);
+    Machine& m = machines_[server];
+    Gateway& w = gateways_[g];
+    checker_.sent(now_, g, action.request, server, m.entry);
+    if (t.attempts >= t.ids.size()) throw std::logic_error("a request was sent more than eight times");
+    Attempt a;
+    a.of = id;
+    a.server = server;
+    a.at = now_;
+    a.number = t.attempts;
+    a.epoch = m.epoch;
+    const auto number = static_cast<std::uint32_t>(attempts_.size());
+    t.ids[t.attempts++] = number;
+    attempts_.push_back(a);
+    Attempt& made = attempts_.back();
+    if (t.ended || t.attempts > settings_.maxAttempts || action.span < Duration(0)) {
+      made.outcome = Outcome::moot;
+      return at(door(now_ + Duration(1)), Happens::atGateway, number);
+    }
+    secondOf(now_).attempts += 1;
+    ++result_.attempts;
+    if (calls0_[t.call].first >= kStart) crossed_ += gateways_[g].zone != m.zone;
+    const Duration limit =
+        std::min(action.span > Duration(0) ? action.span : t.deadline - now_, t.deadline - now_);
+    at(door(now_ + std::max(limit, Duration(1))), Happens::timeout, number);
+    if (server >= w.pools.size()) w.pools.resize(machines_.size());
+    Pool& pool = w.pools[server];
+    if (pool.epoch != m.epoch && !m.leftSilently) pool.idle.clear();
+    while (!pool.idle.empty() && now_ - pool.idle.back() >= settings_.idleClose) {
+      if (pool.epoch == m.epoch) lower(m, pool.idle.size());
+      pool.idle.clear();
+    }
+    if (!pool.idle.empty()) {
+      made.epoch = pool.epoch;
+      made.connected = true;
+      pool.idle.pop_back();
+      if (reachable(g, m)) at(now_ + hop(g, m), Happens::atServer, number);
+      return;
+    }
+    pool.epoch = m.epoch;
+    made.fresh = true;
+    if (!reachable(g, m)) {
+      made.outcome = Outcome::connectFailed;
+      return at(door(now_ + millis(s_.connectTimeoutMs)), Happens::atGateway, number);
+    }
+    const Duration trip = hop(g, m) + hop(g, m);
+    if (!m.up || static_cast<double>(m.server.connections) >= m.server.figures().connectionCap) {
+      made.outcome = Outcome::connectFailed;
+      return at(door(now_ + trip), Happens::atGateway, number);
+    }
+    ++result_.connections;
+    made.connected = true;
+    m.server.connections += 1;
+    at(now_ + secs(inSeconds(trip) * handshakeRtts_) + hop(g, m), Happens::atServer, number);
+  }
+
+  void respond(std::uint32_t id, Outcome outcome) {
+    Attempt& a = attempts_[id];
+    if (!a.out) return;
+    const std::uint32_t g = tries_[a.of].gateway;
+    if (!reachable(g, machines_[a.server])) return;  // swallowed on its way
+    a.outcome = outcome;
+    at(door(now_ + hop(g, machines_[a.server])), Happens::atGateway, id);
+  }
+
+  void atServer(std::uint32_t id) {
+    Attempt& a = attempts_[id];
+    Machine& m = machines_[a.server];
+    const Try& t = tries_[a.of];
+    if (!reachable(t.gateway, m)) return;
+    if (a.epoch != m.epoch || !m.up) return respond(id, Outcome::reset);
+    if (!a.out) return;  // given up and its connection closed before it came
+    const Call& c = calls0_[t.call];
+    const Drawn& d = classes_[c.cls];
+    Stream draw(seed_, "attempt", (static_cast<std::uint64_t>(t.call) * 32 + c.tries) * 8 + a.number);
+    Job job;
+    job.attempt = id;
+    job.key = c.key;
+    job.hasKey = c.key != 0 && s_.warmKeys;
+    job.deadline = t.deadline;
+    job.work = c.work * (d.noise > 0 ? draw.lognormal(1, d.noise) : 1) + (a.fresh ? handshakeWork_ : 0);
+    const Gateway& w = gateways_[t.gateway];
+    double informed = 0;
+    const bool knew = a.server < w.toldStart.size() && w.toldStart[a.server] == m.entry.upSince;
+    if (m.server.overdriven(now_, job.work, knew, s_.fallMultiple, s_.fallMs / 1000, informed)) {
+      note("cold server " + m.entry.address + " fell over");
+      checker_.fell(now_, m.entry.address, informed);
+      stopMachine(a.server, false);
+      publishLater(noticeTime(), a.server, Phase::out, m.entry.upSince);
+      return;
+    }
+    if (m.draining) return respond(id, Outcome::full);
+    if (m.resets > 0 && draw.chance(m.resets)) {
+      m.server.offer(now_, job);  // it runs, but the answer is lost
+      reschedule(a.server);
+      return respond(id, Outcome::reset);
+    }
+    if (m.errors > 0 && draw.chance(m.errors)) return respond(id, Outcome::error);
+    if (!m.server.offer(now_, job)) return respond(id, Outcome::full);
+    collect(a.server);
+    reschedule(a.server);
+  }
+
+  // What the server has finished since it was last looked at.
+  void collect(std::uint32_t server) {
+    Machine& m = machines_[server];
+    std::vector<Server::Ended> ended;
+    ended.swap(m.server.ended());
+    for (const Server::Ended& e : ended) {
+      work_ += e.work;
+      Attempt& a = attempts_[e.attempt];
+      const bool wanted = a.out && !tries_[a.of].ended && a.outcome == Outcome::served;
+      if (!wanted) waste_ += e.work;
+      if (!a.out || a.outcome != Outcome::served) continue;
+      if (e.dropped) respond(e.attempt, Outcome::full);
+      else
+        respond(e.attempt, Stream(seed_, "error", e.attempt).chance(m.server.figures().errorRate)
+                               ? Outcome::error
+                               : Outcome::served);
+    }
+  }
+
+  void reschedule(std::uint32_t server) {
+    Machine& m = machines_[server];
+    ++m.turn;
+    if (const auto end = m.server.nextEnd()) at(std::max(*end, now_), Happens::serverDone, server, m.turn);
+  }
+
+  // The gateway closes the attempt's connection; waiting work may be dropped for it.
+  void hangUp(Attempt& a, std::uint32_t id) {
+    Machine& m = machines_[a.server];
+    if (a.epoch != m.epoch || !a.connected) return;
+    lower(m, 1);
+    m.server.abandon(id);
+  }
+
+  void finishAttempt(std::uint32_t id, Outcome outcome, bool givenUp) {
+    Attempt& a = attempts_[id];
+    if (!a.out) return;
+    a.out = false;
+    const std::uint32_t tryId = a.of;
+    Try& t = tries_[tryId];
+    Gateway& w = gateways_[t.gateway];
+    if (!w.up || w.life != t.life) return;
+    Machine& m = machines_[a.server];
+    if (givenUp || outcome == Outcome::reset) hangUp(a, id);
+    else if (outcome != Outcome::connectFailed && outcome != Outcome::moot && a.epoch == m.epoch) {
+      if (w.pools[a.server].epoch == m.epoch) w.pools[a.server].idle.push_back(now_);
+    }
+    Second& second = secondOf(now_);
+    if (outcome == Outcome::full) second.full += 1;
+    if (outcome == Outcome::timeout) second.timeouts += 1;
+    if (outcome == Outcome::connectFailed) second.connectFailed += 1;
+    if (outcome == Outcome::reset) second.resets += 1;
+    if (outcome == Outcome::error) second.errors += 1;
+    checker_.outcome(tryId + 1, a.number, outcome);
+    AttemptResult r;
+    r.request = tryId + 1;
+    r.attempt = a.number;
+    r.host = w.policy->findHost(m.entry.address);
+    r.outcome = outcome;
+    r.taken = now_ - a.at;
+    if (outcome == Outcome::served && !t.ended) {
+      checker_.served(tryId + 1);
+      end(tryId, true, false, {});
+    }
+    r.terminal = tries_[tryId].ended;
+    const std::uint32_t g = tries_[tryId].gateway;
+    w.policy->onResult(now_, r);
+    if (outcome != Outcome::cancelled) carryOut(g);  // else it is being carried out already
+  }
+
+  void due(std::uint32_t id) {
+    Try& t = tries_[id];
+    if (t.ended) return;
+    Gateway& w = gateways_[t.gateway];
+    checker_.due(now_, id + 1);
+    end(id, false, false, {});
+    if (!w.up || w.life != t.life) return;
+    w.policy->onClientGone(now_, id + 1);
+    carryOut(t.gateway);
+  }
+
+  // --- Discovery
+  // --------------------------------------------------------------------------------------------
+
+  void learn(std::uint32_t g, std::uint32_t server, const HostEntry& e) {
+    Gateway& w = gateways_[g];
+    w.told.resize(machines_.size(), Phase::out);
+    w.toldStart.resize(machines_.size());
+    w.told[server] = e.phase;
+    w.toldStart[server] = e.upSince;
+    checker_.told(now_, g, server, e.phase);
+  }
+
+  void tell(std::uint32_t g, std::uint32_t change) {
+    if (!gateways_[g].up) return;
+    const Change& c = changes_[change];
+    learn(g, c.server, c.entry);
+    gateways_[g].policy->onHosts(now_, ListKind::update, {c.entry});
+    carryOut(g);
+  }
+
+  void tellAll(std::uint32_t g) {
+    std::vector<HostEntry> entries;
+    for (std::uint32_t m = 0; m < machines_.size(); ++m) {
+      HostEntry e = published_[m];
+      if (!publishedIn_[m]) e.phase = Phase::out;
+      learn(g, m, e);
+      if (e.phase != Phase::out) entries.push_back(e);
+    }
+    gateways_[g].policy->onHosts(now_, ListKind::replace, entries);
+    carryOut(g);
+  }
+
+  // Discovery has noticed: every gateway hears of it within the spread.
+  void publish(std::uint32_t server, Phase phase, Time upSince) {
+    HostEntry e = machines_[server].entry;
+    e.phase = phase;
+    e.upSince = upSince;
+    published_[server] = e;
+    publishedIn_[server] = phase != Phase::out;
+    changes_.push_back({server, e});
+    const double spread = s_.spreadMs.draw(notices_) / 1000;
+    for (std::uint32_t g = 0; g < gateways_.size(); ++g) {
+      Time when = now_ + secs(notices_.uniform(0, spread));
+      when = door(std::max(when, gateways_[g].lastTold));
+      gateways_[g].lastTold = when;
+      at(when, Happens::tell, g, static_cast<std::uint32_t>(changes_.size() - 1));
+    }
+  }
+  void publishLater(Duration in, std::uint32_t server, Phase phase, Time upSince) {
+    Time when = now_ + in + secs(lateLists_);
+    if (period_s_ > 0) {  // discovery looks every so often
+      const auto period = secs(period_s_).count();
+      when = Time((when.count() + period - 1) / period * period);
+    }
+    at(when, [this, server, phase, upSince] { publish(server, phase, upSince); });
+  }
+  Duration noticeTime() { return secs(s_.noticeS.draw(notices_)); }
+
+  // --- Machines and troubles
+  // --------------------------------------------------------------------------------
+
+  // The process ends: its connections are reset, or nobody hears anything of it.
+  void stopMachine(std::uint32_t server, bool silently) {
+    Machine& m = machines_[server];
+    const std::vector<std::uint32_t> held = m.server.drop();
+    ++m.turn;
+    m.up = false;
+    m.leftSilently = silently;
+    if (!silently)
+      for (std::uint32_t id : held) respond(id, Outcome::reset);
+    ++m.epoch;
+    m.server.connections = 0;
+  }
+
+  void startMachine(std::uint32_t server) {
+    Machine& m = machines_[server];
+    m.server.restart(now_);
+    ++m.turn;
+    ++m.epoch;
+    m.up = true;
+    m.draining = false;
+    m.reachable = true;
+    m.entry.upSince = now_;
+  }
+
+  std::vector<std::uint32_t> some(double part, const std::vector<std::uint32_t>& from) {
+    std::vector<std::uint32_t> all = from;
+    for (std::size_t i = all.size(); i > 1; --i) std::swap(all[i - 1], all[trouble_.below(i)]);
+    all.resize(std::min<std::size_t>(
+        all.size(),
+        static_cast<std::size_t>(std::max(1.0, std::round(part * static_cast<double>(from.size()))))));
+    std::sort(all.begin(), all.end());
+    return all;
+  }
+  std::vector<std::uint32_t> firstServers() const {
+    std::vector<std::uint32_t> all(machines_.size());
+    for (std::uint32_t i = 0; i < all.size(); ++i) all[i] = i;
+    return all;
+  }
+
+  // On between `from` and `to` for each of the servers.
+  void during(double from, double to, std::vector<std::uint32_t> servers, const std::string& text,
+              std::function<void(std::uint32_t, bool)> set) {
+    for (const bool on : {true, false})
+      at(kStart + secs(on ? from : to), [this, on, servers, text, set] {
+        note(text + (on ? " begins, " + std::to_string(servers.size()) + " servers" : " ends"));
+        for (std::uint32_t i : servers) {
+          set(i, on);
+          machines_[i].server.advance(now_);
+          collect(i);
+          reschedule(i);
+        }
+      });
+  }
+
+  void drawTroubles() {
+    for (const Trouble& t : s_.troubles) {
+      const double from = t.atS.draw(trouble_), length = t.lengthS.draw(trouble_),
+                   part = t.part.draw(trouble_);
+      const double size = t.size.draw(trouble_), every = t.everyS.draw(trouble_);
+      std::uint32_t zone = static_cast<std::uint32_t>(trouble_.below(s_.zones.size()));
+      for (std::uint32_t z = 0; z < s_.zones.size(); ++z)
+        if (s_.zones[z] == t.zone) zone = z;
+      const double to = from + length;
+      if (t.kind == "slow") {
+        during(from, to, some(part, firstServers()), "slow", [this, size](std::uint32_t i, bool on) {
+          machines_[i].slow = on ? std::max(size, 1.0) : 1;
+          machines_[i].server.slow(now_, machines_[i].slow);
+        });
+      } else if (t.kind == "pauses") {
+        for (std::uint32_t i : some(part, firstServers()))
+          for (double when = from + every * trouble_.unit(); when < to; when += every) {
+            pauseAt(i, when, true);
+            pauseAt(i, when + size / 1000, false);
+          }
+        at(kStart + secs(from), [this] { note("pauses begin"); });
+      } else if (t.kind == "errors" || t.kind == "resets") {
+        const bool errors = t.kind == "errors";
+        during(from, to, some(part, firstServers()), t.kind, [this, size, errors](std::uint32_t i, bool on) {
+          if (errors) machines_[i].errors = on ? size : 0;
+          else machines_[i].resets = on ? size : 0;
+        });
+      } else if (t.kind == "silence") {
+        during(from, to, some(part, firstServers()), "silence", [this](std::uint32_t i, bool on) {
+          machines_[i].reachable = !on;
+          if (on) noticeSilence(i);
+        });
+      } else if (t.kind == "zone") {
+        std::vector<std::uint32_t> servers;
+        for (std::uint32_t i = 0; i < machines_.size(); ++i)
+          if (machines_[i].zone == zone) servers.push_back(i);
+        during(from, to, servers, "zone " + s_.zones[zone] + " lost", [this](std::uint32_t i, bool on) {
+          if (on) {
+            machines_[i].reachable = false;
+            stopMachine(i, true);
+            noticeSilence(i);
+          } else {
+            startMachine(i);
+            publishLater(secs(s_.addS.draw(notices_)), i, Phase::in, now_);
+          }
+        });
+      } else if (t.kind == "cut") {
+        at(kStart + secs(from),
+           [this, zone] { note("zone " + s_.zones[zone] + " cut off"), cutZone_ = zone; });
+        at(kStart + secs(to), [this] { note("cut ends"), cutZone_ = kNobody; });
+      } else if (t.kind == "kill") {
+        std::vector<std::uint32_t> all(static_cast<std::size_t>(settings_.groupSize));
+        for (std::uint32_t i = 0; i < all.size(); ++i) all[i] = i;
+        const double notice = s_.frontNoticeS.draw(trouble_);
+        for (std::uint32_t g : some(part, all)) {
+          at(kStart + secs(from), [this, g] { killGateway(g); });
+          at(kStart + secs(from + notice), [this, g] {
+            if (!gateways_[g].up) gateways_[g].known = false;
+          });
+          at(kStart + secs(from + std::max(length, 0.1) * trouble_.uniform(0.5, 1.5)),
+             [this, g] { startGateway(g, false); });
+        }
+        at(kStart + secs(from), [this] { note("gateways killed"); });
+      } else if (t.kind == "deploy") {
+        deploy(from, length, part, std::max(size, 0.01), every);
+      } else if (t.kind == "late_lists") {
+        at(kStart + secs(from), [this, size] { note("lists come late"), lateLists_ = size; });
+        at(kStart + secs(to), [this] { lateLists_ = 0; });
+      } else if (t.kind == "settings") {
+        at(kStart + secs(from), [this, t, size] { newSettings(t, size); });
+      } else if (t.kind == "surge") {
+        surges_.push_back({from, to, std::max(size, 0.0)});
+      }
+    }
+  }
+
+  void pauseAt(std::uint32_t i, double when, bool on) {
+    at(kStart + secs(when), [this, i, on] {
+      Machine& m = machines_[i];
+      m.paused += on ? 1 : -1;
+      m.server.pause(now_, m.paused > 0);
+      collect(i);
+      reschedule(i);
+    });
+  }
+
+  void noticeSilence(std::uint32_t i) {
+    at(now_ + secs(s_.silentNoticeS.draw(notices_)), [this, i] {
+      if (!machines_[i].reachable) publish(i, Phase::out, machines_[i].entry.upSince);
+    });
+  }
+
+  // Batches drain, go, and are replaced by machines with new addresses, cold.
+  void deploy(double from, double length, double part, double batch, double drain) {
+    const std::vector<std::uint32_t> chosen = some(part, firstServers());
+    const auto each =
+        static_cast<std::size_t>(std::max(1.0, std::round(batch * static_cast<double>(machines_.size()))));
+    const std::size_t steps = (chosen.size() + each - 1) / each;
+    at(kStart + secs(from),
+       [this, n = chosen.size()] { note("deploy begins, " + std::to_string(n) + " servers"); });
+    for (std::size_t i = 0; i < chosen.size(); ++i) {
+      const double when = from + length * static_cast<double>(i / each) /
+                                     static_cast<double>(std::max<std::size_t>(steps, 1));
+      at(kStart + secs(when), [this, id = chosen[i], drain] {
+        Machine& m = machines_[id];
+        if (m.draining || !m.up) return;
+        m.draining = true;
+        publishLater(noticeTime(), id, Phase::draining, m.entry.upSince);
+        at(now_ + secs(drain), [this, id] {
+          stopMachine(id, false);
+          publishLater(noticeTime(), id, Phase::out, machines_[id].entry.upSince);
+          const std::uint32_t fresh =
+              addMachine(kindOf_[id], machines_[id].zone, static_cast<std::size_t>(machines_[id].entry.cell));
+          startMachine(fresh);
+          publishLater(secs(s_.addS.draw(notices_)), fresh, Phase::in, now_);
+        });
+      });
+    }
+  }
+
+  void newSettings(const Trouble& t, double attempts) {
+    if (attempts >= 1) settings_.maxAttempts = static_cast<std::uint32_t>(std::min(attempts, 8.0));
+    for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
+      if (settings_.classes[i].name != t.className || t.effect.empty()) continue;
+      settings_.classes[i].effect = t.effect == "safe"    ? Effect::retryable
+                                    : t.effect == "keyed" ? Effect::dedup
+                                                          : Effect::fragile;
+    }
+    note("settings changed");
+    for (std::uint32_t g = 0; g < gateways_.size(); ++g)
+      if (gateways_[g].up) {
+        gateways_[g].policy->onSettings(now_, settingsOf(g));
+        carryOut(g);
+      }
+  }
+
+  // --- Clock and books
+  // ----------------------------------------------------------------------------------------
+
+  void happen(const Event& e) {
+    switch (e.what) {
+      case Happens::clientTry: return clientTry(e.a);
+      case Happens::arrive: return arrive(e.a);
+      case Happens::due: return due(e.a);
+      case Happens::atServer: return atServer(e.a);
+      case Happens::serverDone: {
+        Machine& m = machines_[e.a];
+        if (e.b != m.turn) return;
+        m.server.advance(now_);
+        collect(e.a);
+        return reschedule(e.a);
+      }
+      case Happens::tick: {
+        Machine& m = machines_[e.a];
+        m.server.advance(now_);
+        collect(e.a);
+        reschedule(e.a);
+        if (m.up || m.server.held() > 0 || !m.draining) at(now_ + kServerTick, Happens::tick, e.a);
+        return;
+      }
+      case Happens::atGateway: return finishAttempt(e.a, attempts_[e.a].outcome, false);
+      case Happens::timeout: return finishAttempt(e.a, Outcome::timeout, true);
+      case Happens::wake: {
+        Gateway& w = gateways_[e.a];
+        if (!w.up || w.life != e.b) return;
+        w.policy->onWake(now_);
+        return carryOut(e.a);
+      }
+      case Happens::tell: return tell(e.a, e.b);
+      case Happens::call: {
+        const std::function<void()> call = std::move(calls_[e.a]);
+        return call();
+      }
+      case Happens::sample: return sample();
+    }
+  }
+
+  ServerState stateOf(const Machine& m) const {
+    if (!m.reachable) return ServerState::silent;
+    if (!m.up) return ServerState::gone;
+    if (m.draining) return ServerState::draining;
+    if (m.server.choked()) return ServerState::choked;
+    if (m.paused > 0) return ServerState::paused;
+    if (m.slow > 1) return ServerState::slowed;
+    return m.server.cold() ? ServerState::cold : ServerState::usual;
+  }
+
+  void sample() {
+    ++samples_;
+    for (std::size_t i = 0; i < machines_.size(); ++i) {
+      result_.servers[i].held.push_back(static_cast<float>(machines_[i].server.held()));
+      result_.servers[i].states.push_back(stateOf(machines_[i]));
+    }
+    double cut = 0;
+    std::size_t up = 0;
+    for (const Gateway& w : gateways_)
+      if (w.up) cut += w.policy->cutoff(), ++up;
+    if (up > 0) secondOf(now_).cutoff = std::max(secondOf(now_).cutoff, cut / static_cast<double>(up));
+    if (now_ + kSample <= kStart + secs(s_.lengthS)) at(now_ + kSample, Happens::sample);
+  }
+
+  double percentile(double part) const {
+    double all = 0, sum = 0;
+    for (const auto& bin : boost::histogram::indexed(latency_)) all += *bin;
+    for (const auto& bin : boost::histogram::indexed(latency_)) {
+      sum += *bin;
+      if (all > 0 && sum >= part * all) return bin.bin().upper();
+    }
+    return 0;
+  }
+
+  void settle() {
+    Result& r = result_;
+    r.scenario = s_.name;
+    r.seed = seed_;
+    double asked = 0, served = 0, lateFailed = 0, offered = 0;
+    std::uint64_t refused = 0, failed = 0;
+    for (const Call& c : calls0_) {
+      const ClassSettings& set = classes_[c.cls].set;
+      const double worth = c.end == CallEnd::inTime ? c.worth
+                           : c.end == CallEnd::late ? set.lateShare * c.worth
+                                                    : 0;
+      Second& second = secondOf(c.first);
+      second.asked += c.worth;
+      (c.end == CallEnd::late ? second.late : second.inTime) += worth;
+      second.calls += 1;
+      offered += c.work;
+      if (c.first < kStart + secs(s_.warmS)) continue;
+      ++r.calls;
+      ClassRecord& record = r.classes[c.cls];
+      record.asked += c.worth;
+      record.served += worth;
+      record.calls += 1;
+      record.inTime += c.end == CallEnd::inTime;
+      record.late += c.end == CallEnd::late;
+      const bool unserved = c.end != CallEnd::inTime && c.end != CallEnd::late;
+      if (!unserved) continue;
+      (c.end == CallEnd::refused ? record.refused : record.failed) += 1;
+      ++(c.end == CallEnd::refused ? refused : failed);
+      if (c.end == CallEnd::open || c.endAt - c.first > set.aim) lateFailed += c.worth;
+    }
+    for (const ClassRecord& record : r.classes) asked += record.asked, served += record.served;
+    if (r.calls > 0) {
+      r.refusedShare = static_cast<double>(refused) / static_cast<double>(r.calls);
+      r.failedShare = static_cast<double>(failed) / static_cast<double>(r.calls);
+    }
+    r.priceLateFail = asked > 0 ? s_.priceLateFail * lateFailed / asked : 0;
+    r.whole = asked > 0 ? served / asked : 1;
+    r.worstClass = 1;
+    for (const ClassRecord& record : r.classes)
+      if (record.asked > 0) r.worstClass = std::min(r.worstClass, record.served / record.asked);
+    r.worstWindow = r.whole;
+    const std::size_t window = std::min<std::size_t>(10, r.seconds.size());
+    for (std::size_t i = static_cast<std::size_t>(s_.warmS); i + window <= r.seconds.size(); ++i) {
+      double a = 0, got = 0;
+      for (std::size_t j = i; j < i + window; ++j)
+        a += r.seconds[j].asked, got += r.seconds[j].inTime + r.seconds[j].late;
+      if (a > 0 && got / a < r.worstWindow) r.worstWindow = got / a, r.worstAt = static_cast<double>(i);
+    }
+    const double first = std::max<double>(1, static_cast<double>(calls0_.size()));
+    r.priceCrossZone = s_.priceCrossZone * static_cast<double>(crossed_) / first;
+    r.priceWaste = offered > 0 ? s_.priceWaste * waste_ / offered : 0;
+    r.priceHandshake = s_.priceHandshake * static_cast<double>(r.connections) / first;
+    std::size_t choked = 0;
+    for (std::size_t i = 0; i < machines_.size(); ++i) {
+      r.servers[i].chokes = machines_[i].server.chokes();
+      for (Server::Choke& c : r.servers[i].chokes) {
+        c.from -= kStart;
+        if (c.to > Time{}) c.to -= kStart;
+      }
+      choked += !r.servers[i].chokes.empty();
+    }
+    r.chokedShare = static_cast<double>(choked) / static_cast<double>(machines_.size());
+    r.priceChoke = s_.priceChoke * r.chokedShare;
+    r.p50 = percentile(0.5);
+    r.p90 = percentile(0.9);
+    r.p99 = percentile(0.99);
+    r.breaches = checker_.breaches();
+    for (Breach& b : r.breaches) b.at -= kStart;
+    r.g = s_.goalWhole * r.whole + s_.goalWorstWindow * r.worstWindow + s_.goalWorstClass * r.worstClass -
+          r.priceCrossZone - r.priceWaste - r.priceHandshake - r.priceChoke - r.priceLateFail;
+  }
+
+  struct Drawn {
+    ClassSettings set;
+    double share = 1, work = 0, cv = 0, noise = 0;
+  };
+  struct KindDrawn {
+    double speed = 1, cv = 0;
+    bool expired = false, cancelled = false;
+  };
+  struct Surge {
+    double from, to, size;
+  };
+
+  const Scenario& s_;
+  std::uint64_t seed_;
+  const PolicyMaker& maker_;
+  Stream day_, network_, notices_, trouble_;
+  Checker checker_;
+  Result result_;
+  Time now_{};
+  std::uint64_t order_ = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::vector<std::function<void()>> calls_;
+
+  Duration tick_{};
+  double pace_ = 1, level_ = 0, swing_ = 0, period_ = 20, sameHop_ = 0, crossHop_ = 0, clientHop_ = 0,
+         jitter_ = 0;
+  double tryShare_ = 0.5, backoff_ = 0, honour_ = 0, handshakeRtts_ = 1, handshakeWork_ = 0, period_s_ = 0;
+  double meanWork_ = 0, capacity_ = 0, longest_ = 0, lateLists_ = 0;
+  unsigned retries_ = 0;
+  bool chokes_ = false;
+  std::size_t cellSize_ = 6, samples_ = 0;
+  std::vector<double> keyWeights_, zoneShare_;
+  std::vector<Drawn> classes_;
+  std::vector<KindDrawn> kindsDrawn_;
+  std::vector<Surge> surges_;
+  Settings settings_;
+  std::vector<Machine> machines_;
+  std::vector<std::size_t> kindOf_;
+  std::unordered_map<std::string, std::uint32_t> byAddress_;
+  std::vector<HostEntry> published_;
+  std::vector<char> publishedIn_;
+  std::vector<Change> changes_;
+  std::vector<Gateway> gateways_;
+  std::vector<Call> calls0_;
+  std::vector<Try> tries_;
+  std::vector<Attempt> attempts_;
+  std::uint32_t cutZone_ = kNobody;
+  double waste_ = 0, work_ = 0;
+  std::uint64_t crossed_ = 0;
+  decltype(boost::histogram::make_histogram(
+      boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(2000, 0.1,
+                                                                                      1e5))) latency_;
+};
+
+}  // namespace
+
+const char* nameOf(ServerState state) {
+  switch (state) {
+    case ServerState::usual: return "usual";
+    case ServerState::cold: return "cold";
+    case ServerState::choked: return "choked";
+    case ServerState::slowed: return "slowed";
+    case ServerState::paused: return "paused";
+    case ServerState::silent: return "silent";
+    case ServerState::draining: return "draining";
+    case ServerState::gone: return "gone";
+  }
+  return "?";
+}
+
+Result play(const Scenario& scenario, std::uint64_t seed, const std::string& policyName,
+            const PolicyMaker& policy) {
+  Result result = World(scenario, seed, policy).play();
+  result.policy = policyName;
+  return result;
+}
+
+}  // namespace hollyrun::lab
