--- a/src/lab/checker.cpp
+++ b/src/lab/checker.cpp
@@ -36,6 +36,18 @@
   open_[request] = Taken{set, deadline, false, {}};
 }
 
+// What is wrong with a further attempt there, given an earlier one; empty if nothing is.
+std::string Checker::repeatFault(const Taken& t, const Attempt& a, Time now,
+                                 const ochrehill::HostEntry& entry) const {
+  if (a.out && !figures_.parallelTries) return "two attempts out at a time";
+  if (!a.mayHaveRun || t.set.effect == Effect::retryable) return {};
+  if (t.set.effect == Effect::fragile) return "sent again though it may have run";
+  if ((t.set.group == Group::zone && a.zone != entry.zone) ||
+      (t.set.group == Group::cell && a.cell != entry.cell))
+    return "repeated outside the group of its first server";
+  return now > a.at + t.set.window ? "repeated past the window" : "";
+}
+
 void Checker::sent(Time now, std::uint32_t gateway, std::uint64_t request, std::uint32_t server,
                    const ochrehill::HostEntry& entry) {
   const auto closed = closedSince_.find(pair(gateway, server));
@@ -50,17 +62,10 @@
     return breach(Rule::lost, now, request, entry.address, "sent after the request had ended");
   Taken& t = it->second;
   for (const Attempt& a : t.attempts) {
-    if (a.out && !figures_.parallelTries)
-      breach(Rule::duplicate, now, request, entry.address, "two attempts out at a time");
-    if (!a.mayHaveRun || t.set.effect == Effect::retryable) continue;
-    if (t.set.effect == Effect::fragile) {
-      breach(Rule::duplicate, now, request, entry.address, "sent again though it may have run");
-    } else if ((t.set.group == Group::zone && a.zone != entry.zone) ||
-               (t.set.group == Group::cell && a.cell != entry.cell)) {
-      breach(Rule::duplicate, now, request, entry.address, "repeated outside the group of its first server");
-    } else if (now > a.at + t.set.window) {
-      breach(Rule::duplicate, now, request, entry.address, "repeated past the window");
-    }
+    const std::string wrong = repeatFault(t, a, now, entry);
+    if (wrong.empty()) continue;
+    breach(Rule::duplicate, now, request, entry.address, wrong);
+    break;
   }
   t.attempts.push_back({server, entry.zone, entry.cell, now});
 }
--- a/src/lab/checker.hpp
+++ b/src/lab/checker.hpp
@@ -70,6 +70,8 @@
   static std::uint64_t pair(std::uint32_t gateway, std::uint32_t server) {
     return static_cast<std::uint64_t>(gateway) << 32 | server;
   }
+  std::string repeatFault(const Taken& t, const Attempt& a, Time now,
+                          const ochrehill::HostEntry& entry) const;
   void forget(std::uint64_t request);
 
   RuleFigures figures_;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -1,59 +1,319 @@
-// hollyrun-lab: the model of the platform as a program.
+// hollyrun-lab: plays scenarios of the platform with the decision module or a plain policy.
+//
+// Exit codes: 0 all well; 1 a rule was broken (a line each on standard output); 2 the command line, a
+// scenario or a file is wrong (the reason on standard error).
+#include <spdlog/fmt/fmt.h>
 #include <spdlog/sinks/stdout_color_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <CLI/CLI.hpp>
+#include <chrono>
 #include <cstdio>
+#include <fstream>
+#include <map>
 
+#include "lab/experiment.hpp"
+#include "lab/report.hpp"
 #include "lab/scenario.hpp"
-#include "lab/world.hpp"
+#include "lab/store.hpp"
 
 using namespace hollyrun::lab;
 
+namespace {
+
+constexpr int kBroken = 1, kWrong = 2;
+
+struct Options {
+  std::vector<std::string> files, set;
+  std::string policy = "module", seeds = "1", label = "run", db, a = "module", b = "random", vary, out;
+  std::vector<std::int64_t> ids;
+  unsigned threads = 0;
+  bool series = false, text = false;
+};
+
+// An arm of a comparison: `policy`, `policy,key=value,...`, or `@label` of a file of results.
+struct Arm {
+  std::string name, policy = "module", label;
+  std::vector<std::string> set;
+  explicit Arm(const std::string& text) : name(text) {
+    if (text.starts_with("@")) {
+      label = text.substr(1);
+      return;
+    }
+    std::vector<std::string> parts;
+    std::size_t from = 0;
+    int depth = 0;  // commas within [..] or {..} belong to a value
+    for (std::size_t i = 0; i <= text.size(); ++i) {
+      const char c = i < text.size() ? text[i] : ',';
+      if (c == '[' || c == '{') ++depth;
+      if (c == ']' || c == '}') --depth;
+      if (i < text.size() && (c != ',' || depth > 0)) continue;
+      parts.push_back(text.substr(from, i - from));
+      from = i + 1;
+    }
+    policy = parts.front();
+    policyNamed(policy);  // throws on an unknown one
+    set.assign(parts.begin() + 1, parts.end());
+  }
+};
+
+class Progress {
+ public:
+  explicit Progress(std::size_t all) : all_(all), told_(std::chrono::steady_clock::now()) {}
+  void operator()(std::size_t done) {
+    const auto now = std::chrono::steady_clock::now();
+    if (now - told_ < std::chrono::seconds(2)) return;
+    told_ = now;
+    spdlog::info("{} of {} days played", done, all_);
+  }
+
+ private:
+  std::size_t all_;
+  std::chrono::steady_clock::time_point told_;
+};
+
+std::vector<Result> playJobs(const std::vector<Day>& jobs, const Options& o) {
+  Progress progress(jobs.size());
+  return playAll(jobs, o.threads, o.series, std::ref(progress));
+}
+
+std::vector<std::string> merged(const std::vector<std::string>& a, const std::vector<std::string>& b) {
+  std::vector<std::string> all = a;
+  all.insert(all.end(), b.begin(), b.end());
+  return all;
+}
+
+int breachesOf(const std::vector<Result>& results) {
+  int code = 0;
+  for (const Result& r : results)
+    for (const Breach& b : r.breaches) {
+      if (r.policy != "module") continue;  // a plain policy is a yardstick, not on trial
+      fmt::print("{} seed {}: {}\n", r.scenario, r.seed, lineOf(b));
+      code = kBroken;
+    }
+  return code;
+}
+
+void keep(const Options& o, const std::vector<Result>& results) {
+  if (o.db.empty()) return;
+  Store(o.db).put(o.label, results, o.series);
+}
+
+void header() {
+  fmt::print("scenario policy seed G whole worst10s worst_class refused failed jammed p50_ms p99_ms\n");
+}
+
+int check(const Options& o) {
+  int code = 0;
+  for (const std::string& file : o.files) {
+    try {
+      readScenario(file, o.set);
+      fmt::print("{}: good\n", file);
+    } catch (const ScenarioError& e) {
+      fmt::print(stderr, "{}\n", e.what());
+      code = kWrong;
+    }
+  }
+  return code;
+}
+
+int run(const Options& o) {
+  std::vector<Scenario> scenarios;
+  for (const std::string& file : o.files) scenarios.push_back(readScenario(file, o.set));
+  policyNamed(o.policy);
+  std::vector<Day> jobs;
+  for (const Scenario& s : scenarios)
+    for (std::uint64_t seed : seedsFrom(o.seeds)) jobs.push_back({&s, o.policy, seed});
+  const std::vector<Result> results = playJobs(jobs, o);
+  keep(o, results);
+  if (results.size() == 1 || o.text) {
+    for (const Result& r : results) fmt::print("{}", textOf(r));
+    if (results.size() == 1) return results.front().breaches.empty() || o.policy != "module" ? 0 : kBroken;
+  }
+  header();
+  std::vector<double> all;
+  for (const Result& r : results) fmt::print("{}\n", lineOf(r)), all.push_back(r.g);
+  const Estimate e = estimate(all);
+  fmt::print("mean G {:.4f} -+ {:.4f} over {} days\n", e.mean, e.half, e.count);
+  return breachesOf(results);
+}
+
+// The arm's results by scenario and seed: played, or as they were kept.
+std::map<std::pair<std::string, std::uint64_t>, Result> resultsOf(const Arm& arm, const Options& o,
+                                                                  int& code) {
+  std::map<std::pair<std::string, std::uint64_t>, Result> all;
+  if (!arm.label.empty()) {
+    if (o.db.empty()) throw std::runtime_error("@" + arm.label + " needs --db");
+    for (StoredRun& kept : Store(o.db).runs(arm.label))
+      all.insert_or_assign({kept.result.scenario, kept.result.seed}, std::move(kept.result));
+    if (all.empty()) throw std::runtime_error("no runs are kept under '" + arm.label + "'");
+    return all;
+  }
+  std::vector<Scenario> scenarios;
+  for (const std::string& file : o.files) scenarios.push_back(readScenario(file, merged(o.set, arm.set)));
+  std::vector<Day> jobs;
+  for (const Scenario& s : scenarios)
+    for (std::uint64_t seed : seedsFrom(o.seeds)) jobs.push_back({&s, arm.policy, seed});
+  const std::vector<Result> results = playJobs(jobs, o);
+  code = std::max(code, breachesOf(results));
+  for (const Result& r : results) all.insert_or_assign({r.scenario, r.seed}, r);
+  return all;
+}
+
+int compare(const Options& o) {
+  const Arm armA(o.a), armB(o.b);
+  int code = 0;
+  const auto a = resultsOf(armA, o, code), b = resultsOf(armB, o, code);
+  const std::pair<const char*, double (*)(const Result&)> figures[] = {
+      {"G", [](const Result& r) { return r.g; }},
+      {"whole day", [](const Result& r) { return r.whole; }},
+      {"worst 10 s", [](const Result& r) { return r.worstWindow; }},
+      {"worst class", [](const Result& r) { return r.worstClass; }},
+      {"refused", [](const Result& r) { return r.refusedShare; }},
+      {"failed", [](const Result& r) { return r.failedShare; }},
+      {"jammed", [](const Result& r) { return r.chokedShare; }},
+      {"p99 ms", [](const Result& r) { return r.p99; }}};
+  std::vector<std::string> names{""};  // all scenarios together, and each
+  for (const auto& [key, r] : a)
+    if (names.back() != key.first) names.push_back(key.first);
+  if (names.size() == 2) names.erase(names.begin());
+  fmt::print("a = {}, b = {}; difference a - b with its 95 % confidence interval\n", armA.name, armB.name);
+  for (const std::string& name : names) {
+    fmt::print("{}\n", name.empty() ? "all scenarios" : name);
+    for (const auto& [figure, of] : figures) {
+      std::vector<double> as, bs, differences;
+      for (const auto& [key, r] : a) {
+        const auto other = b.find(key);
+        if (other == b.end() || (!name.empty() && key.first != name)) continue;
+        as.push_back(of(r));
+        bs.push_back(of(other->second));
+        differences.push_back(as.back() - bs.back());
+      }
+      if (differences.empty()) throw std::runtime_error("the two arms have no scenario and seed in common");
+      const Estimate e = estimate(differences);
+      const char* verdict = std::abs(e.mean) <= e.half ? "not told apart"
+                            : e.mean > 0               ? "a higher"
+                                                       : "b higher";
+      fmt::print("  {:<12} a {:>9.4f}  b {:>9.4f}  a - b {:>+9.4f} -+ {:.4f}  {} up, {} down of {}  {}\n",
+                 figure, estimate(as).mean, estimate(bs).mean, e.mean, e.half, e.better, e.worse, e.count,
+                 verdict);
+    }
+  }
+  return code;
+}
+
+int sweep(const Options& o) {
+  const std::size_t equals = o.vary.find('=');
+  if (equals == std::string::npos) throw std::runtime_error("--vary wants KEY=VALUE,VALUE,...");
+  const std::string key = o.vary.substr(0, equals);
+  const Arm values("module," + o.vary.substr(equals + 1));  // the same splitting at commas
+  fmt::print("{} policy G mean half refused failed jammed p99_ms\n", key);
+  int code = 0;
+  std::string policies = o.policy + ",";
+  for (const std::string& value : values.set) {
+    for (std::size_t from = 0, to; (to = policies.find(',', from)) != std::string::npos; from = to + 1) {
+      const std::string policy = policies.substr(from, to - from);
+      policyNamed(policy);
+      std::vector<Scenario> scenarios;
+      for (const std::string& file : o.files)
+        scenarios.push_back(readScenario(file, merged(o.set, {key + "=" + value})));
+      std::vector<Day> jobs;
+      for (const Scenario& s : scenarios)
+        for (std::uint64_t seed : seedsFrom(o.seeds)) jobs.push_back({&s, policy, seed});
+      const std::vector<Result> results = playJobs(jobs, o);
+      keep(o, results);
+      code = std::max(code, breachesOf(results));
+      std::vector<double> g, refused, failed, jammed, p99;
+      for (const Result& r : results) {
+        g.push_back(r.g), refused.push_back(r.refusedShare), failed.push_back(r.failedShare);
+        jammed.push_back(r.chokedShare), p99.push_back(r.p99);
+      }
+      const Estimate e = estimate(g);
+      fmt::print("{} {} {:.4f} {:.4f} {:.4f} {:.4f} {:.4f} {:.1f}\n", value, policy, e.mean, e.half,
+                 estimate(refused).mean, estimate(failed).mean, estimate(jammed).mean, estimate(p99).mean);
+    }
+  }
+  return code;
+}
+
+int report(const Options& o) {
+  Store store(o.db);
+  std::vector<StoredRun> runs;
+  if (o.ids.empty())
+    for (const StoredRun& r : store.runs(o.label == "run" ? "" : o.label)) runs.push_back(r);
+  for (std::int64_t id : o.ids) runs.push_back(store.run(id));
+  if (runs.empty()) throw std::runtime_error(o.db + " holds no such runs");
+  if (o.out.empty()) {
+    fmt::print("run label ");
+    header();
+    for (const StoredRun& r : runs) fmt::print("{} {} {}\n", r.id, r.label, lineOf(r.result));
+    return 0;
+  }
+  std::ofstream file(o.out);
+  file << htmlOf(runs);
+  file.close();
+  if (!file) throw std::runtime_error(o.out + " could not be written");
+  fmt::print("{}: {} runs\n", o.out, runs.size());
+  return 0;
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
   spdlog::set_default_logger(spdlog::stderr_color_mt("hollyrun-lab"));
   spdlog::set_pattern("%v");
   CLI::App app{"hollyrun lab: the decision module on a model of the record platform, in virtual time"};
   app.require_subcommand(1);
-  std::string file, policy = "module";
-  std::vector<std::string> set;
-  std::uint64_t seed = 1;
-  CLI::App* run = app.add_subcommand("run", "play a scenario");
-  run->add_option("scenario", file)->required();
-  run->add_option("--policy", policy);
-  run->add_option("--seed", seed);
-  run->add_option("--set", set);
-  CLI11_PARSE(app, argc, argv);
+  app.footer(
+      "Exit codes: 0 well, 1 a rule was broken, 2 wrong arguments, scenario or file. See docs/lab.md.");
+  Options o;
+  int (*command)(const Options&) = nullptr;
+  const auto add = [&](const char* name, const char* what, int (*f)(const Options&)) {
+    CLI::App* sub = app.add_subcommand(name, what);
+    sub->callback([&command, f] { command = f; });
+    return sub;
+  };
+  const auto plays = [&](CLI::App* sub) {
+    sub->add_option("scenario", o.files, "scenario files (TOML)")->required();
+    sub->add_option("--set", o.set, "KEY=VALUE over the file's, in TOML: load.level=0.9")
+        ->allow_extra_args(false);
+    sub->add_option("--seeds,--seed", o.seeds, "7, 1-30 or 1,4,9-12")->capture_default_str();
+    sub->add_option("--threads", o.threads, "days at a time; 0: one a core")->capture_default_str();
+    sub->add_option("--db", o.db, "SQLite file for the results");
+  };
+  CLI::App* checks = add("check", "read scenarios and name their faults", check);
+  checks->add_option("scenario", o.files, "scenario files (TOML)")->required();
+  checks->add_option("--set", o.set, "KEY=VALUE over the file's")->allow_extra_args(false);
+  CLI::App* runs = add("run", "play scenarios", run);
+  plays(runs);
+  runs->add_option("--policy", o.policy, "module, random, least, two or truth")->capture_default_str();
+  runs->add_option("--label", o.label, "name of these runs in the file of results")->capture_default_str();
+  runs->add_flag("--series", o.series, "keep the servers' states over time, for a report");
+  runs->add_flag("--text", o.text, "the whole text of each day, not only its line");
+  CLI::App* compares = add("compare", "play two arms on the same seeds and tell the difference", compare);
+  plays(compares);
+  compares->add_option("-a", o.a, "POLICY[,KEY=VALUE...], or @LABEL of --db")->capture_default_str();
+  compares->add_option("-b", o.b, "likewise")->capture_default_str();
+  CLI::App* sweeps = add("sweep", "play over the values of one key", sweep);
+  plays(sweeps);
+  sweeps->add_option("--vary", o.vary, "KEY=VALUE,VALUE,...")->required();
+  sweeps->add_option("--policy", o.policy, "policies, set apart by commas")->capture_default_str();
+  sweeps->add_option("--label", o.label, "name of these runs in the file of results")->capture_default_str();
+  CLI::App* reports = add("report", "list kept runs, or draw them into one HTML file", report);
+  reports->add_option("--db", o.db, "SQLite file of the results")->required()->check(CLI::ExistingFile);
+  reports->add_option("--run", o.ids, "numbers of runs; none: all, without plots");
+  reports->add_option("--label", o.label, "only runs of this label");
+  reports->add_option("--out", o.out, "HTML file to write; none: a list");
   try {
-    const Scenario s = readScenario(file, set);
-    const Result r = play(s, seed, policy, policyNamed(policy));
-    std::printf("%s seed %llu %s: G %.4f whole %.4f worst 10 s %.4f (from %.0f s) worst class %.4f\n",
-                r.scenario.c_str(), (unsigned long long)r.seed, r.policy.c_str(), r.g, r.whole, r.worstWindow,
-                r.worstAt, r.worstClass);
-    std::printf(
-        "prices: cross %.4f waste %.4f late %.4f handshake %.4f choke %.4f; refused %.3f failed %.3f; p50 "
-        "%.1f p90 %.1f p99 %.1f; events %llu tries %llu attempts %llu conns %llu\n",
-        r.priceCrossZone, r.priceWaste, r.priceLateFail, r.priceHandshake, r.priceChoke, r.refusedShare,
-        r.failedShare, r.p50, r.p90, r.p99, (unsigned long long)r.events, (unsigned long long)r.tries,
-        (unsigned long long)r.attempts, (unsigned long long)r.connections);
-    for (size_t i = 0; i < r.seconds.size(); i += 5) {
-      const auto& x = r.seconds[i];
-      std::printf(
-          "%3zu asked %.2f intime %.3f late %.3f refused %u failed %u attempts %u full %u to %u conn %u "
-          "reset %u err %u cut %.1f\n",
-          i, x.asked, x.inTime / x.asked, x.late / x.asked, x.refused, x.failed, x.attempts, x.full,
-          x.timeouts, x.connectFailed, x.resets, x.errors, x.cutoff);
-    }
-    for (const auto& sv : r.servers)
-      for (const auto& c : sv.chokes)
-        std::printf("choke %s %s %.2f..%.2f held %.1f\n", sv.address.c_str(), sv.kind.c_str(),
-                    inSeconds(c.from), inSeconds(c.to), c.held);
-    for (const auto& h : r.happened) std::printf("%s\n", h.c_str());
-    for (const auto& b : r.breaches)
-      std::printf("RULE %s at %.3f request %llu server %s: %s\n", nameOf(b.rule), inSeconds(b.at),
-                  (unsigned long long)b.request, b.server.c_str(), b.what.c_str());
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    const int code = app.exit(e);
+    return code == 0 ? 0 : kWrong;
+  }
+  try {
+    return command(o);
   } catch (const std::exception& e) {
-    std::fprintf(stderr, "%s\n", e.what());
-    return 2;
+    fmt::print(stderr, "{}\n", e.what());
+    return kWrong;
   }
 }
--- a/src/lab/policy.cpp
+++ b/src/lab/policy.cpp
@@ -99,7 +99,8 @@
     int held = 0;
   };
   /// One of `from`, not empty; kNone refuses the request.
-  virtual HostId choose(Time now, const std::vector<HostId>& from, Time deadline) = 0;
+  virtual HostId choose(Time now, const std::vector<HostId>& from, const ClassSettings& set,
+                        Time deadline) = 0;
 
   Settings set_;
   const Truth& truth_;
@@ -141,7 +142,7 @@
       if (age >= whole || random_.chance(set_.coldShare + (1 - set_.coldShare) * age / whole))
         from.push_back(i);
     }
-    const HostId host = from.empty() ? kNone : choose(now, from, h.deadline);
+    const HostId host = from.empty() ? kNone : choose(now, from, h.set, h.deadline);
     if (host == kNone) return false;
     actions_.push_back(
         {ActionKind::send, id, static_cast<std::uint32_t>(h.tries.size()), host, h.deadline - now, {}});
@@ -169,7 +170,7 @@
 class RandomPolicy final : public Plain {
  public:
   using Plain::Plain;
-  HostId choose(Time, const std::vector<HostId>& from, Time) override {
+  HostId choose(Time, const std::vector<HostId>& from, const ClassSettings&, Time) override {
     return from[random_.below(from.size())];
   }
 };
@@ -177,7 +178,7 @@
 class LeastPolicy final : public Plain {
  public:
   using Plain::Plain;
-  HostId choose(Time, const std::vector<HostId>& from, Time) override {
+  HostId choose(Time, const std::vector<HostId>& from, const ClassSettings&, Time) override {
     int least = std::numeric_limits<int>::max();
     std::vector<HostId> best;
     for (HostId id : from) {
@@ -192,18 +193,23 @@
 class TwoPolicy final : public Plain {
  public:
   using Plain::Plain;
-  HostId choose(Time, const std::vector<HostId>& from, Time) override {
+  HostId choose(Time, const std::vector<HostId>& from, const ClassSettings&, Time) override {
     const HostId a = from[random_.below(from.size())], b = from[random_.below(from.size())];
     return hosts_[a].held <= hosts_[b].held ? a : b;
   }
 };
 
-// Sees the true state: the server that would be done first, and none if none would be in time.
+// Sees the true state: the server that would be done first. Where even that one is crowded, the lesser
+// classes go first: each is refused from a time on that is longer the more it is worth.
 class TruthPolicy final : public Plain {
  public:
   using Plain::Plain;
-  HostId choose(Time now, const std::vector<HostId>& from, Time deadline) override {
-    double first = std::chrono::duration<double>(deadline - now).count();
+  HostId choose(Time now, const std::vector<HostId>& from, const ClassSettings& set, Time deadline) override {
+    double most = 0;
+    for (const ClassSettings& c : set_.classes) most = std::max(most, c.worth);
+    const double patience = kPatience * (0.5 + 0.5 * set.worth / std::max(most, 1e-9));
+    double first = std::min(std::chrono::duration<double>(deadline - now).count(),
+                            patience * std::chrono::duration<double>(set.aim).count());
     HostId best = kNone;
     for (HostId id : from) {
       const double takes = truth_.secondsToServe(hosts_[id].entry.address, kWork);
@@ -213,7 +219,8 @@
   }
 
  private:
-  static constexpr double kWork = 0.05;  // seconds: about a usual request
+  static constexpr double kWork = 0.05;     // seconds: about a usual request
+  static constexpr double kPatience = 0.7;  // of the aim
 };
 
 template <class Kind>
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -203,7 +203,8 @@
   in.text("kind", t.kind,
           {"slow", "pauses", "deploy", "zone", "cut", "kill", "silence", "resets", "errors", "settings",
            "surge", "late_lists"});
-  if (t.kind.empty()) in.fault(table, "kind", "is missing");
+  if (!table->contains("kind")) in.fault(table, "kind", "is missing");
+  in.range("chance", t.chance, 0, 1);
   in.range("at_s", t.atS);
   in.range("length_s", t.lengthS);
   in.range("part", t.part, 0, 1);
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -47,6 +47,7 @@
 
 struct Trouble {
   std::string kind;
+  Range chance = 1;  // that it happens
   Range atS = 0, lengthS = 0, part = 0, size = 0, everyS = 1;
   std::string zone, effect, className;  // zone: empty draws one
 };
--- a/src/lab/server.cpp
+++ b/src/lab/server.cpp
@@ -6,8 +6,10 @@
 namespace hollyrun::lab {
 namespace {
 
-constexpr double kBusySmooth = 0.5;  // seconds over which "mostly idle" is judged
-constexpr double kWarmByWork = 0.5;  // of the work of the whole cold time makes it warm
+constexpr double kBusySmooth = 0.5;   // seconds over which "mostly idle" is judged
+constexpr double kCrowdSmooth = 0.5;  // of the time that it has to be crowded: the mean is taken over it
+constexpr double kCrowdMost = 1.5;    // times the bound counts: it takes half of its time at the least
+constexpr double kWarmByWork = 0.5;   // of the work of the whole cold time makes it warm
 
 }  // namespace
 
@@ -123,11 +125,14 @@
     warmth_ = figures_.coldFrom + (1 - figures_.coldFrom) * std::min(way, 1.0);
   }
   if (!figures_.chokes) return;
-  const bool crowded = static_cast<double>(waiting_.size()) > figures_.chokeAt * figures_.cores;
-  if (crowded && !crowded_) crowdedSince_ = now;
-  crowded_ = crowded;
+  // Crowded in the mean: with every dip counted as relief a server never jams that the simulator jams at
+  // once.
+  crowd_ +=
+      (1 - std::exp(-inSeconds(now - crowdAt_) / (kCrowdSmooth * figures_.chokeOverS))) * (level_ - crowd_);
+  crowdAt_ = now;
+  level_ = std::min(static_cast<double>(held()) / figures_.cores, kCrowdMost * figures_.chokeAt);
   if (!choked_) {
-    if (crowded_ && inSeconds(now - crowdedSince_) >= figures_.chokeOverS) {
+    if (crowd_ > figures_.chokeAt) {
       choked_ = true;
       resting_ = false;
       chokedAt_ = now;
@@ -141,7 +146,7 @@
   const bool rested = resting_ && inSeconds(now - restSince_) >= figures_.chokeRestS;
   if (rested || inSeconds(now - chokedAt_) >= figures_.chokeMostS) {
     choked_ = false;
-    crowded_ = false;
+    crowd_ = 0;
     chokeLog_.back().to = now;
   }
 }
@@ -161,9 +166,9 @@
   drop();
   ended_.clear();
   if (choked_) chokeLog_.back().to = now;
-  choked_ = crowded_ = resting_ = paused_ = false;
+  choked_ = resting_ = paused_ = false;
   startedAt_ = now;
-  done_ = busy_ = 0;
+  done_ = busy_ = crowd_ = level_ = 0;
   warmth_ = figures_.coldS > 0 ? figures_.coldFrom : 1;
   arrived_.clear();
   recent_.clear();
@@ -185,14 +190,15 @@
   if (!cold()) return false;
   arrived_.push_back({now, work, informed});
   while (now - arrived_.front().at > seconds(window)) arrived_.pop_front();
-  double all = 0, known = 0;
+  double all = 0, known = 0, largest = 0;
   for (const Arrived& a : arrived_) {
     all += a.work;
+    largest = std::max(largest, a.work);
     if (a.informed) known += a.work;
   }
   share = all > 0 ? known / all : 0;
   const double able = figures_.cores * figures_.speed * warmth_;
-  return all > multiple * able * window + 3 * meanWork_;
+  return all - largest > multiple * able * window + 3 * meanWork_;
 }
 
 }  // namespace hollyrun::lab
--- a/src/lab/server.hpp
+++ b/src/lab/server.hpp
@@ -56,6 +56,10 @@
   };
 
   explicit Server(ServerFigures figures) : figures_(figures) {}
+  // Danger: a copy's table of keys would point into the original.
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+  Server(Server&&) = default;
 
   /// Takes a request that has come whole. False: the waiting room is full, and it is turned away unseen.
   bool offer(Time now, const Job& job);
@@ -75,8 +79,8 @@
   void pause(Time now, bool on);
 
   /// Notes work that reached a cold machine, and tells whether more than `multiple` times what it can do came
-  /// within `window`, with room for three requests of mean work by chance. `informed` is the share of it from
-  /// gateways that had been told of its start.
+  /// within `window`, the largest request and three of mean work left out for chance. `share` is the part of
+  /// it from gateways that had been told of its start.
   bool overdriven(Time now, double work, bool informed, double multiple, double window, double& share);
 
   std::size_t held() const { return running_.size() + waiting_.size(); }
@@ -105,9 +109,9 @@
   std::deque<Job> waiting_;
   std::vector<std::uint32_t> abandoned_;
   std::vector<Ended> ended_;
-  Time last_{}, startedAt_{}, crowdedSince_{}, restSince_{}, chokedAt_{};
-  double progress_ = 0, slow_ = 1, warmth_ = 1, done_ = 0, busy_ = 0, meanWork_ = 0;
-  bool paused_ = false, choked_ = false, crowded_ = false, resting_ = false;
+  Time last_{}, startedAt_{}, crowdAt_{}, restSince_{}, chokedAt_{};
+  double progress_ = 0, slow_ = 1, warmth_ = 1, done_ = 0, busy_ = 0, crowd_ = 0, level_ = 0, meanWork_ = 0;
+  bool paused_ = false, choked_ = false, resting_ = false;
   std::vector<Choke> chokeLog_;
   struct Arrived {
     Time at;
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -4,6 +4,7 @@
 #include <boost/histogram.hpp>
 #include <cmath>
 #include <cstdio>
+#include <deque>
 #include <functional>
 #include <limits>
 #include <queue>
@@ -378,8 +379,8 @@
                                                                 which.unit() * keyWeights_.back()) -
                                                keyWeights_.begin());
       c.left = static_cast<std::uint8_t>(retries_);
-      calls0_.push_back(c);
-      at(c.first, Happens::clientTry, static_cast<std::uint32_t>(calls0_.size() - 1));
+      clientCalls_.push_back(c);
+      at(c.first, Happens::clientTry, static_cast<std::uint32_t>(clientCalls_.size() - 1));
     }
     result_.seconds.resize(static_cast<std::size_t>(std::ceil(s_.lengthS)));
   }
@@ -392,7 +393,7 @@
   }
 
   void clientTry(std::uint32_t id) {
-    Call& c = calls0_[id];
+    Call& c = clientCalls_[id];
     const Drawn& d = classes_[c.cls];
     Duration left =
         ochrehill::Duration(static_cast<std::int64_t>(static_cast<double>(d.set.giveUp.count()) * tryShare_));
@@ -430,7 +431,7 @@
 
   // After a try without success: the client comes again, or leaves it at that.
   void retry(std::uint32_t id, bool refused, bool unreachable, Duration after) {
-    Call& c = calls0_[id];
+    Call& c = clientCalls_[id];
     const ClassSettings& set = settings_.classes[c.cls];
     const bool may = set.effect == Effect::retryable || refused || unreachable ||
                      (set.effect == Effect::dedup && set.group == Group::all);
@@ -509,7 +510,7 @@
     Try& t = tries_[id];
     Gateway& w = gateways_[t.gateway];
     if (!w.up || w.life != t.life) return retry(t.call, false, true, {});
-    const Call& c = calls0_[t.call];
+    const Call& c = clientCalls_[t.call];
     checker_.taken(id + 1, settings_.classes[c.cls], t.deadline);
     w.open.push_back(id);
     at(t.deadline + millis(s_.answerSlackMs) + Duration(1), Happens::due, id);
@@ -530,7 +531,7 @@
     std::vector<std::uint32_t>& open = gateways_[t.gateway].open;
     const auto found = std::find(open.rbegin(), open.rend(), id);
     if (found != open.rend()) *found = open.back(), open.pop_back();
-    Call& c = calls0_[t.call];
+    Call& c = clientCalls_[t.call];
     if (!served) {
       (refused ? secondOf(now_).refused : secondOf(now_).failed) += 1;
       return retry(t.call, refused, false, after);
@@ -538,6 +539,7 @@
     if (c.end != CallEnd::open) return;
     const Duration taken = now_ - c.first - secs(clientHop_);
     c.end = taken <= classes_[c.cls].set.aim ? CallEnd::inTime : CallEnd::late;
+    c.endAt = now_;
     if (c.first >= kStart + secs(s_.warmS)) latency_(std::clamp(inSeconds(taken) * 1000, 0.11, 9e4));
   }
 
@@ -636,7 +638,7 @@
     }
     secondOf(now_).attempts += 1;
     ++result_.attempts;
-    if (calls0_[t.call].first >= kStart) crossed_ += gateways_[g].zone != m.zone;
+    if (clientCalls_[t.call].first >= kStart) crossed_ += gateways_[g].zone != m.zone;
     const Duration limit =
         std::min(action.span > Duration(0) ? action.span : t.deadline - now_, t.deadline - now_);
     at(door(now_ + std::max(limit, Duration(1))), Happens::timeout, number);
@@ -687,7 +689,7 @@
     if (!reachable(t.gateway, m)) return;
     if (a.epoch != m.epoch || !m.up) return respond(id, Outcome::reset);
     if (!a.out) return;  // given up and its connection closed before it came
-    const Call& c = calls0_[t.call];
+    const Call& c = clientCalls_[t.call];
     const Drawn& d = classes_[c.cls];
     Stream draw(seed_, "attempt", (static_cast<std::uint64_t>(t.call) * 32 + c.tries) * 8 + a.number);
     Job job;
@@ -921,6 +923,8 @@
       std::uint32_t zone = static_cast<std::uint32_t>(trouble_.below(s_.zones.size()));
       for (std::uint32_t z = 0; z < s_.zones.size(); ++z)
         if (s_.zones[z] == t.zone) zone = z;
+      const bool happens = trouble_.chance(t.chance.draw(trouble_));
+      if (!happens) continue;
       const double to = from + length;
       if (t.kind == "slow") {
         during(from, to, some(part, firstServers()), "slow", [this, size](std::uint32_t i, bool on) {
@@ -1130,7 +1134,8 @@
     r.seed = seed_;
     double asked = 0, served = 0, lateFailed = 0, offered = 0;
     std::uint64_t refused = 0, failed = 0;
-    for (const Call& c : calls0_) {
+    std::vector<std::vector<double>> times(r.seconds.size());
+    for (const Call& c : clientCalls_) {
       const ClassSettings& set = classes_[c.cls].set;
       const double worth = c.end == CallEnd::inTime ? c.worth
                            : c.end == CallEnd::late ? set.lateShare * c.worth
@@ -1139,6 +1144,9 @@
       second.asked += c.worth;
       (c.end == CallEnd::late ? second.late : second.inTime) += worth;
       second.calls += 1;
+      if (c.end == CallEnd::inTime || c.end == CallEnd::late)
+        times[static_cast<std::size_t>(&second - r.seconds.data())].push_back(inSeconds(c.endAt - c.first) *
+                                                                              1000);
       offered += c.work;
       if (c.first < kStart + secs(s_.warmS)) continue;
       ++r.calls;
@@ -1154,6 +1162,12 @@
       ++(c.end == CallEnd::refused ? refused : failed);
       if (c.end == CallEnd::open || c.endAt - c.first > set.aim) lateFailed += c.worth;
     }
+    for (std::size_t i = 0; i < times.size(); ++i) {
+      std::sort(times[i].begin(), times[i].end());
+      if (times[i].empty()) continue;
+      r.seconds[i].p50 = times[i][(times[i].size() - 1) / 2];
+      r.seconds[i].p99 = times[i][(times[i].size() - 1) * 99 / 100];
+    }
     for (const ClassRecord& record : r.classes) asked += record.asked, served += record.served;
     if (r.calls > 0) {
       r.refusedShare = static_cast<double>(refused) / static_cast<double>(r.calls);
@@ -1172,7 +1186,7 @@
         a += r.seconds[j].asked, got += r.seconds[j].inTime + r.seconds[j].late;
       if (a > 0 && got / a < r.worstWindow) r.worstWindow = got / a, r.worstAt = static_cast<double>(i);
     }
-    const double first = std::max<double>(1, static_cast<double>(calls0_.size()));
+    const double first = std::max<double>(1, static_cast<double>(clientCalls_.size()));
     r.priceCrossZone = s_.priceCrossZone * static_cast<double>(crossed_) / first;
     r.priceWaste = offered > 0 ? s_.priceWaste * waste_ / offered : 0;
     r.priceHandshake = s_.priceHandshake * static_cast<double>(r.connections) / first;
@@ -1232,14 +1246,14 @@
   std::vector<KindDrawn> kindsDrawn_;
   std::vector<Surge> surges_;
   Settings settings_;
-  std::vector<Machine> machines_;
+  std::deque<Machine> machines_;  // grows while references are held
   std::vector<std::size_t> kindOf_;
   std::unordered_map<std::string, std::uint32_t> byAddress_;
   std::vector<HostEntry> published_;
   std::vector<char> publishedIn_;
   std::vector<Change> changes_;
   std::vector<Gateway> gateways_;
-  std::vector<Call> calls0_;
+  std::vector<Call> clientCalls_;
   std::vector<Try> tries_;
   std::vector<Attempt> attempts_;
   std::uint32_t cutZone_ = kNobody;
