--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -28,7 +28,7 @@
   std::string policy = "module", seeds = "1", label = "run", db, a = "module", b = "random", vary, out;
   std::vector<std::int64_t> ids;
   unsigned threads = 0;
-  bool series = false, text = false;
+  bool series = false, text = false, log = false;
 };
 
 // An arm of a comparison: `policy`, `policy,key=value,...`, or `@label` of a file of results.
@@ -127,7 +127,11 @@
   const std::vector<Result> results = playJobs(jobs, o);
   keep(o, results);
   if (results.size() == 1 || o.text) {
-    for (const Result& r : results) fmt::print("{}", textOf(r));
+    for (const Result& r : results) {
+      fmt::print("{}", textOf(r));
+      if (o.log)
+        for (const std::string& line : r.said) fmt::print("{}\n", line);
+    }
     if (results.size() == 1) return results.front().breaches.empty() || o.policy != "module" ? 0 : kBroken;
   }
   header();
@@ -290,6 +294,7 @@
   runs->add_option("--label", o.label, "name of these runs in the file of results")->capture_default_str();
   runs->add_flag("--series", o.series, "keep the servers' states over time, for a report");
   runs->add_flag("--text", o.text, "the whole text of each day, not only its line");
+  runs->add_flag("--log", o.log, "with the text: what the gateways logged");
   CLI::App* compares = add("compare", "play two arms on the same seeds and tell the difference", compare);
   plays(compares);
   compares->add_option("-a", o.a, "POLICY[,KEY=VALUE...], or @LABEL of --db")->capture_default_str();
--- a/src/lab/policy.cpp
+++ b/src/lab/policy.cpp
@@ -199,28 +199,30 @@
   }
 };
 
-// Sees the true state: the server that would be done first. Where even that one is crowded, the lesser
-// classes go first: each is refused from a time on that is longer the more it is worth.
+// Sees the true state: the server that would be done first, of those that are not crowded. A jammed one
+// rests. The lesser classes go first: the more a request is worth, the fuller a server may be that takes it.
 class TruthPolicy final : public Plain {
  public:
   using Plain::Plain;
   HostId choose(Time now, const std::vector<HostId>& from, const ClassSettings& set, Time deadline) override {
     double most = 0;
     for (const ClassSettings& c : set_.classes) most = std::max(most, c.worth);
-    const double patience = kPatience * (0.5 + 0.5 * set.worth / std::max(most, 1e-9));
+    const double full = kFull * (0.5 + 0.5 * set.worth / std::max(most, 1e-9));
     double first = std::min(std::chrono::duration<double>(deadline - now).count(),
-                            patience * std::chrono::duration<double>(set.aim).count());
+                            std::chrono::duration<double>(set.aim).count());
     HostId best = kNone;
     for (HostId id : from) {
-      const double takes = truth_.secondsToServe(hosts_[id].entry.address, kWork);
-      if (takes < first) first = takes, best = id;
+      const Truth::State state = truth_.look(hosts_[id].entry.address, kWork);
+      if (state.jammed || state.held >= full || state.seconds >= first) continue;
+      first = state.seconds;
+      best = id;
     }
     return best;
   }
 
  private:
-  static constexpr double kWork = 0.05;     // seconds: about a usual request
-  static constexpr double kPatience = 0.7;  // of the aim
+  static constexpr double kWork = 0.05;  // seconds: about a usual request
+  static constexpr double kFull = 3.5;   // held a core: below what jams one
 };
 
 template <class Kind>
--- a/src/lab/policy.hpp
+++ b/src/lab/policy.hpp
@@ -31,9 +31,13 @@
 class Truth {
  public:
   virtual ~Truth() = default;
-  /// Seconds until a request sent now would be served, by true speed, state and backlog; infinite if it would
-  /// not be.
-  virtual double secondsToServe(const std::string& address, double work) const = 0;
+  struct State {
+    double seconds = 0;  // until a request sent now would be served; infinite if it would not be
+    double held = 0;     // a core
+    bool jammed = false;
+  };
+  /// By true speed, state and backlog, for a request of this work.
+  virtual State look(const std::string& address, double work) const = 0;
 };
 
 using PolicyMaker =
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -20,6 +20,7 @@
 constexpr Time kStart = std::chrono::seconds(100);  // zero would read as "long past"
 constexpr Duration kServerTick = std::chrono::milliseconds(50);
 constexpr Duration kSample = std::chrono::milliseconds(250);
+constexpr std::size_t kSaidMost = 500;
 constexpr std::uint32_t kNobody = UINT32_MAX;
 
 enum class Happens : std::uint8_t {
@@ -141,12 +142,17 @@
     return std::move(result_);
   }
 
-  double secondsToServe(const std::string& address, double work) const override {
+  State look(const std::string& address, double work) const override {
     const Machine& m = machines_[byAddress_.at(address)];
-    if (!m.reachable || !m.up || m.draining || m.paused > 0 || m.server.waiting() >= m.server.figures().room)
-      return std::numeric_limits<double>::infinity();
-    const double able = m.server.capacity(), core = able / m.server.figures().cores;
-    return m.server.backlog() / able + work / core;
+    const ServerFigures& f = m.server.figures();
+    State state;
+    state.held = static_cast<double>(m.server.held()) / f.cores;
+    state.jammed = m.server.choked();
+    const bool serves = m.reachable && m.up && !m.draining && m.paused == 0 && m.server.waiting() < f.room;
+    const double able = m.server.capacity();
+    state.seconds =
+        serves ? m.server.backlog() / able + work * f.cores / able : std::numeric_limits<double>::infinity();
+    return state;
   }
 
  private:
@@ -167,11 +173,12 @@
     const auto rest = when.count() % tick_.count();
     return rest == 0 ? when : when + tick_ - Duration(rest);
   }
-  void note(const std::string& text) {
+  std::string stamp() const {
     char when[32];
     std::snprintf(when, sizeof when, "%8.3f s  ", sinceStart(now_));
-    result_.happened.push_back(when + text);
+    return when;
   }
+  void note(const std::string& text) { result_.happened.push_back(stamp() + text); }
 
   // --- Drawing the day ----------------------------------------------------------------------------------
 
@@ -584,8 +591,11 @@
         case ActionKind::wake:
           at(door(std::max(a.span, now_ + Duration(1))), Happens::wake, g, w.life);
           break;
-        case ActionKind::subscribe:
-        case ActionKind::log: break;
+        case ActionKind::log:
+          if (result_.said.size() < kSaidMost)
+            result_.said.push_back(stamp() + "[" + std::to_string(g) + "] " + a.text);
+          break;
+        case ActionKind::subscribe: break;
       }
     }
   }
--- a/src/lab/world.hpp
+++ b/src/lab/world.hpp
@@ -56,6 +56,7 @@
   std::vector<ServerRecord> servers;
   std::vector<Breach> breaches;
   std::vector<std::string> happened;  // troubles and what came of them, with their times
+  std::vector<std::string> said;      // the policies' own log lines, the first few hundred
 };
 
 /// Plays one day. Throws std::logic_error if the policy acts against the interface (an unknown request or
