Bound what is in flight by the least the usual time has lately been

Servers jammed and stayed jammed.

The feedback: the maximum is rate x 3 usual times, and the usual time (sweepPool, `norm`) is learned from what answers take now. Crowded servers take longer, so the maximum grows with its own effect, up to the share of the aim; a jam of three times keeps three times as much. It now follows the least of the usual time in the mean over two seconds, which rises one per cent a second and so forgets nothing within a jam.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -28,8 +28,7 @@
 constexpr double kFastGain = 0.2;               // per sweep: rates over about half a second
 constexpr double kSteadyRate = 80;              // requests a second that make half a second steady enough
 constexpr double kSlowGain = 0.008;             // per sweep: the traffic mix is remembered about ten seconds
-constexpr double kNormGain =
-    0.02;  // per answer: a usual time, over the last fifty answers; at first over all
+constexpr double kNormGain = 0.02;  // per answer: a usual time over the last fifty, at first over all
 // Danger: the mean of all answers follows the slow few, and by a long usual time nothing looks slow or
 // silent.
 constexpr double kNormClip = 2;     // an answer counts as this many usual times at the most
@@ -43,7 +42,10 @@
 constexpr double kMaxOfAim = 0.45;  // in-flight maximum: mean time at this share of the aim
 // Danger: where the aim is many usual times long, requests that wait for most of it crowd the hosts until
 // they slow down, and then stay slow. So long a queue gains nothing.
-constexpr double kMaxNorms = 3;  // and at this many usual times
+// Danger: crowded hosts lengthen the usual time, and a maximum that followed it would keep them crowded. It
+// follows the least that the usual time has lately been, in the mean over two seconds.
+constexpr double kMaxNorms = 3.5;                        // and at this many of the least usual time
+constexpr double kLeastGain = 0.05, kLeastRise = 0.001;  // per sweep; the least rises one per cent a second
 // Danger: what a host that fell silent holds says nothing of a queue, and where answers are quick it is many
 // usual times' worth before the silence shows.
 constexpr Duration kMaxTimeLeast = milliseconds(80);
@@ -146,6 +148,7 @@
   double calmHeld = 0;                                    // in-flight a host while nothing is refused
   double meanAim = 0, meanWork = 0;                       // seconds over the recent arrivals: aim, usual time
   double medianPace = 1, medianCrowd = 1, peerFails = 0, norm = 0;
+  double meanNorm = 0, leastNorm = 0;  // in the mean over two seconds, and the least of that lately
   double retryTokens = kRetrySaved;
   IdleLosses idleLosses;
   bool asking = false, answered = false;
@@ -251,8 +254,7 @@
         inTime += weight * (now <= r.aimAt ? 1 : c.set.lateShare);
         break;
       }
-      case Outcome::full:  // Danger: a host that stays full, or drains unannounced, holds little and looks
-                           // idle.
+      case Outcome::full:  // Danger: a host that stays full, or drains untold, holds little and looks idle.
         h.heard = now;
         h.errors += 1;
         learnPace(h, std::max(kFullPace * h.pace, kinds[h.kind].pace));
@@ -416,7 +418,7 @@
     const double first = kFirstPerHost / set.groupSize, floor = kFloorPerHost / set.groupSize;
     const double least = now - started < 10 * kSweep ? first : std::max(floor, calmHeld);
     double time = meanAim * kMaxOfAim;
-    if (norm > 0) time = std::min(time, std::max(kMaxNorms * norm, toSeconds(kMaxTimeLeast)));
+    if (leastNorm > 0) time = std::min(time, std::max(kMaxNorms * leastNorm, toSeconds(kMaxTimeLeast)));
     return ease * std::max(fastRate * time, least * std::max(warm, 1.0));
   }
 
@@ -452,6 +454,8 @@
     for (std::uint32_t place : places)
       if (classes[place].norm > 0) sum += classes[place].norm, seen += 1;
     norm = seen > 0 ? sum / seen : 0;
+    meanNorm += (meanNorm > 0 ? kLeastGain : 1) * (norm - meanNorm);
+    leastNorm = leastNorm > 0 ? std::min(leastNorm * (1 + kLeastRise), meanNorm) : meanNorm;
     idleLosses.fade();
     levels.fade(kSlowGain);
     std::erase_if(turns, [&](const auto& t) { return t.second.queue.empty() && now >= t.second.restUntil; });
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -82,8 +82,7 @@
   HostId host = kNone;
   Time at{};
   bool out = false, mayHaveRun = false, cancelled = false, dialled = false;
-  std::size_t age =
-      0;  // of the connection used: how long it lay idle, as a step of IdleLosses; 0 = fresh or new
+  std::size_t age = 0;  // a step of IdleLosses: how long the connection used lay idle; 0 = fresh or new
 };
 
 struct Open {
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -439,6 +439,23 @@
   EXPECT_LT(held / 400, 70u) << "by the aim alone it is over a hundred";
 }
 
+// Hosts that are crowded answer later; a maximum of so many usual times, the usual time being what they take
+// then, grew with its own effect up to the share of the aim, and never came down again.
+TEST(Cutoff, TheMaximumDoesNotGrowWithTheTimesOfCrowdedHosts) {
+  Driver d(makeSettings(), 8);
+  double held = 0;
+  for (int i = 0; i < 6000;
+       ++i) {  // ten seconds in calm; then five times what the hosts can do, 400 a second
+    for (int k = 0; k < (i < 2000 ? 1 : 10); ++k) d.request(1);
+    d.advance(milliseconds(5), milliseconds(5));
+    const auto queue = std::chrono::microseconds(2500) * d.out.size();
+    serveDue(d, [&](HostId) { return std::max<Duration>(milliseconds(20), queue); });
+    if (i >= 4000) held += static_cast<double>(d.out.size()) / 2000;
+  }
+  EXPECT_LT(held, 50);
+  EXPECT_GT(held, 15) << "and the hosts are not idled either";
+}
+
 // Where answers take a few milliseconds, the few requests that are lost without a word outweigh three usual
 // times.
 TEST(Cutoff, AFewLostRequestsRefuseNothingWhereAnswersAreQuick) {
