A command line, and a configuration in TOML beside the platform's JSON

The gateway was set by variables and a file that only the platform writes. hollyrun serve, check, show and version (CLI11) and TOML (toml++) give a person the same settings: one table of keys (net/keys) turns a TOML file into the platform's JSON, which is judged and typed as before. check names every fault at once with file, line and key and warns of unknown keys; show prints what is in effect with its origin, as TOML that reads back to the same. SIGHUP takes either form whole or not at all.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,55 +1,62 @@
-// The gateway as a program: configuration, signals, exit codes.
+// The gateway as a program: command line, configuration, signals, exit codes.
+//
+// Exit codes: 0 ended as told, or all is well; 1 failed while it ran; 2 the arguments or the configuration
+// are no good. Without arguments it serves, as the platform starts it.
+#include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <map>
 #include <string>
-#include <string_view>
 #include <utility>
 
 #include "net/config.hpp"
 #include "net/gateway.hpp"
+#include "net/keys.hpp"
 
 namespace {
 
-constexpr int kFailed = 1, kBadConfig = 2;
+using namespace cairnjunction;
 
-const char* variable(const char* name) { return std::getenv(name); }
+constexpr int kFailed = 1, kWrong = 2;
 
-// Once running, the file goes before the variable: that still names where discovery was at the start.
-const char* reloadedVariable(const char* name) {
-  return std::string_view(name) == "GW_DISCOVERY" ? nullptr : variable(name);
+void warn(const Config& config) {
+  for (const std::string& warning : config.warnings) std::cerr << "warning: " << warning << '\n';
 }
 
 // Danger: a file that is no good must not end a gateway that serves; it goes on with what it has.
-void reload(cairnjunction::Gateway& gateway, cairnjunction::Config& running) {
+void reload(Gateway& gateway, Config& running, const Environment& environment) {
   try {
-    cairnjunction::Config config = cairnjunction::readConfig(reloadedVariable, &running);
+    Config config = readConfig(environment, &running);
     gateway.reload(config);
     running = std::move(config);
+    warn(running);
     std::cerr << "configuration reloaded\n";
-  } catch (const cairnjunction::BadConfig& bad) {
+  } catch (const BadConfig& bad) {
     gateway.reloadFailed();
     std::cerr << "configuration not reloaded: " << bad.what() << '\n';
   }
 }
 
-void reloadAtEach(boost::asio::signal_set& hangups, cairnjunction::Gateway& gateway,
-                  cairnjunction::Config& running) {
+void reloadAtEach(boost::asio::signal_set& hangups, Gateway& gateway, Config& running,
+                  const Environment& environment) {
   hangups.async_wait([&](boost::system::error_code ec, int) {
     if (ec) return;
-    reload(gateway, running);
-    reloadAtEach(hangups, gateway, running);
+    reload(gateway, running, environment);
+    reloadAtEach(hangups, gateway, running, environment);
   });
 }
 
-int serve(cairnjunction::Config config) {
+int serve(const Environment& environment) {
+  Config config = readConfig(environment);
+  warn(config);
   boost::asio::io_context io(1);
   boost::asio::signal_set hangups(io, SIGHUP), stops(io, SIGTERM, SIGINT);
-  cairnjunction::Gateway gateway(io, config, {}, [](const std::string& line) { std::cerr << line << '\n'; });
-  reloadAtEach(hangups, gateway, config);
+  Gateway gateway(io, config, {}, [](const std::string& line) { std::cerr << line << '\n'; });
+  reloadAtEach(hangups, gateway, config, environment);
   stops.async_wait([&](boost::system::error_code ec, int) {
     if (!ec) gateway.drain([&] { io.stop(); });
   });
@@ -57,17 +64,92 @@
   return 0;
 }
 
+// Prints what is wrong with the file, all of it; the file as read, if nothing is.
+bool good(const Environment& environment, ReadFile& file) {
+  const char* path = environment("GW_CONFIG");
+  if (!path) throw BadConfig("no file: name one with --config or GW_CONFIG");
+  file = readFile(path);
+  for (const auto& [key, variable] :
+       {std::pair("listen", "GW_LISTEN"), std::pair("discovery", "GW_DISCOVERY")})
+    if (file.faults.empty() && !environment(variable) && !file.json.contains(key))
+      file.faults.push_back({path, key, "is missing, and " + std::string(variable) + " is not set"});
+  if (file.faults.empty()) try {
+      parseConfig(file.json, environment);
+    } catch (const BadConfig& bad) {
+      file.faults.push_back({path, "configuration", bad.what()});
+    }
+  for (const Remark& warning : file.warnings) std::cerr << "warning: " << warning.text() << '\n';
+  for (const Remark& fault : file.faults) std::cerr << fault.text() << '\n';
+  return file.faults.empty();
+}
+
+int check(const Environment& environment) {
+  ReadFile file;
+  if (!good(environment, file)) return kWrong;
+  std::cout << environment("GW_CONFIG") << ": good\n";
+  return 0;
+}
+
+int showAll(const Environment& environment) {
+  ReadFile file;
+  if (!good(environment, file)) return kWrong;
+  std::cout << textOf(show(parseConfig(file.json, environment), file, environment));
+  return 0;
+}
+
+int version(const Environment&) {
+  std::cout << "hollyrun " HOLLYRUN_VERSION "\n";
+  return 0;
+}
+
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);  // a peer that left shows as an error of the write
+  // What the command line says goes before the variables, and they before the file.
+  std::map<std::string, std::string> told;
+  const Environment environment = [&](const char* name) -> const char* {
+    const auto it = told.find(name);
+    return it != told.end() ? it->second.c_str() : std::getenv(name);
+  };
+  int (*command)(const Environment&) = serve;
   try {
-    return serve(cairnjunction::readConfig(variable));
-  } catch (const cairnjunction::BadConfig& bad) {
-    std::cerr << "cairnjunction: " << bad.what() << '\n';
-    return kBadConfig;
+    if (argc > 1) {  // the platform starts it without arguments
+      CLI::App app{"hollyrun: the HTTP/1.1 gateway of the record platform"};
+      app.require_subcommand(0, 1);
+      app.footer(
+          "Without a command it serves. Exit codes: 0 well, 1 failed while it ran, 2 wrong arguments or\n"
+          "configuration. The file may be TOML (see deploy/hollyrun.toml) or the platform's JSON.");
+      const auto add = [&](const char* name, const char* what, int (*f)(const Environment&)) {
+        CLI::App* sub = app.add_subcommand(name, what);
+        sub->callback([&command, f] { command = f; });
+        if (f == version) return;
+        const std::pair<const char*, const char*> options[] = {{"GW_CONFIG", "--config"},
+                                                               {"GW_NAME", "--name"},
+                                                               {"GW_LISTEN", "--listen"},
+                                                               {"GW_DISCOVERY", "--discovery"},
+                                                               {"GW_MANAGEMENT", "--management"}};
+        for (const auto& [variable, option] : options)
+          sub->add_option_function<std::string>(
+              option, [&told, key = std::string(variable)](const std::string& value) { told[key] = value; },
+              std::string("goes before ") + variable);
+      };
+      add("serve", "serve until SIGTERM; SIGHUP reads the file again", serve);
+      add("check", "name every fault of the configuration, with file, line and key", check);
+      add("show", "print the settings in effect as TOML, and where each came from", showAll);
+      add("version", "print the version", version);
+      try {
+        app.parse(argc, argv);
+      } catch (const CLI::ParseError& bad) {
+        return app.exit(bad) == 0 ? 0 : kWrong;
+      }
+    }
+    return command(environment);
+  } catch (const BadConfig& bad) {
+    std::cerr << "hollyrun: " << bad.what() << '\n';
+    return kWrong;
   } catch (const std::exception& bad) {
-    std::cerr << "cairnjunction: " << bad.what() << '\n';
+    std::cerr << "hollyrun: " << bad.what() << '\n';
     return kFailed;
   }
 }
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -1,12 +1,12 @@
 #include "net/config.hpp"
 
 #include <charconv>
-#include <fstream>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <type_traits>
 
 #include "net/json_number.hpp"
+#include "net/keys.hpp"
 
 namespace cairnjunction {
 namespace {
@@ -242,11 +242,20 @@
 Config readConfig(const Environment& environment, const Config* running) {
   const char* path = environment("GW_CONFIG");
   if (!path) throw BadConfig("GW_CONFIG is not set");
-  std::ifstream file(path);
-  if (!file) throw BadConfig(std::string("cannot read ") + path);
-  const json parsed = json::parse(file, nullptr, false);
-  if (parsed.is_discarded()) throw BadConfig(std::string(path) + " holds no JSON");
-  return parseConfig(parsed, environment, running);
+  const ReadFile read = readFile(path);
+  std::string faults;
+  for (const Remark& fault : read.faults) faults += (faults.empty() ? "" : "; ") + fault.text();
+  if (!faults.empty()) throw BadConfig(faults);
+  // Once running, the file goes before the variable: that still names where discovery was at the start.
+  const bool moves = running && read.json.contains("discovery");
+  Config config = parseConfig(
+      read.json,
+      [&](const char* name) {
+        return moves && std::string_view(name) == "GW_DISCOVERY" ? nullptr : environment(name);
+      },
+      running);
+  for (const Remark& warning : read.warnings) config.warnings.push_back(warning.text());
+  return config;
 }
 
 }  // namespace cairnjunction
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -1,4 +1,5 @@
-// What the gateway is told at its start: GW_* variables and the JSON file, as typed settings.
+// What the gateway is told at its start: GW_* variables and the file, the platform's JSON or a person's TOML,
+// as typed settings. net/keys.hpp holds the table of all keys.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -11,6 +12,7 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "net/host_list.hpp"
 #include "ochrehill/ochrehill.hpp"
@@ -34,6 +36,7 @@
   ochrehill::Settings module;               // for the decisions
   std::optional<HostList> known;            // hosts as last had; may be old
   std::shared_ptr<const nlohmann::json> source;
+  std::vector<std::string> warnings;  // of the file: keys that nobody knows
 };
 
 using Environment = std::function<const char*(const char*)>;  // as getenv
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -4,7 +4,9 @@
 #include <cstdio>
 #include <fstream>
 #include <map>
+#include <set>
 
+#include "net/keys.hpp"
 #include "net_peers.hpp"
 
 namespace cairnjunction::testing {
@@ -176,5 +178,137 @@
   EXPECT_THROW(parseEndpoint("host:80"), std::invalid_argument);
 }
 
+// --- A person's file ---
+
+class TomlFile {
+ public:
+  explicit TomlFile(const std::string& text)
+      : path(::testing::TempDir() + "config_" + std::to_string(getpid()) + ".toml") {
+    write(text);
+  }
+  ~TomlFile() { std::remove(path.c_str()); }
+  void write(const std::string& text) const { std::ofstream(path) << text; }
+  Environment environment() const {
+    return
+        [this](const char* name) { return std::string_view(name) == "GW_CONFIG" ? path.c_str() : nullptr; };
+  }
+  const std::string path;
+};
+
+constexpr const char* kToml =
+    "listen = \"127.0.0.1:8080\"\ndiscovery = \"127.0.0.1:8500\"\n[fleet]\ngateways = 3\n[[class]]\n"
+    "name = \"lookup\"\neffect = \"safe\"\naim_ms = 400\ngive_up_ms = 1000.5\n";
+
+std::vector<std::string> valuesOf(const Config& config, const ReadFile& file) {
+  std::vector<std::string> values;
+  for (const Shown& s : show(config, file, [](const char*) -> const char* { return nullptr; }))
+    values.push_back(s.key + " = " + s.value);
+  return values;
+}
+
+TEST(Toml, TheExampleIsGoodAndNamesEveryKey) {
+  const ReadFile file = readFile(HOLLYRUN_EXAMPLE);
+  for (const Remark& r : file.faults) ADD_FAILURE() << r.text();
+  for (const Remark& r : file.warnings) ADD_FAILURE() << r.text();
+  std::ifstream stream(HOLLYRUN_EXAMPLE);
+  const std::string text{std::istreambuf_iterator<char>(stream), {}};
+  const auto mentioned = [&](std::string_view key) {  // set, or commented out with its default
+    const std::string name(key.substr(key.rfind('.') + 1));
+    return text.find("\n" + name + " = ") != std::string::npos ||
+           text.find("\n# " + name + " = ") != std::string::npos;
+  };
+  for (const auto* keys : {&topKeys(), &classKeys(), &tenantKeys()})
+    for (const Key& key : *keys) EXPECT_TRUE(mentioned(key.toml)) << key.toml;
+  const Config c = parseConfig(file.json, [](const char*) { return nullptr; });
+  EXPECT_EQ(c.module.classes[0].aim, std::chrono::milliseconds(400));
+  EXPECT_EQ(c.module.classes[2].effect, ochrehill::Effect::dedup);
+  EXPECT_EQ(c.memoryBytes, 64u << 20);
+}
+
+TEST(Toml, EveryFaultIsNamedWithItsLineAndUnknownKeysAreWarnedOf) {
+  TomlFile toml(
+      "listen = \"nowhere\"\n[limits]\nsockets = 3\nmemroy = 5\n[fleet]\ngateways = 2\nnumber = 2\n"
+      "[[class]]\nname = \"a\"\neffect = \"maybe\"\naim_ms = true\ngive_up_ms = 1\n[[class]]\nname = \"a\"\n"
+      "aim_ms = 9\ngive_up_ms = 8\n");
+  const ReadFile file = readFile(toml.path);
+  std::set<std::string> faults;
+  for (const Remark& r : file.faults) faults.insert(r.place.substr(toml.path.size()) + " " + r.key);
+  const std::set<std::string> expected{
+      ":1 listen",           ":3 limits.sockets", ":7 fleet.number",        ":10 class[0].effect",
+      ":11 class[0].aim_ms", ":13 class[1].name", ":16 class[1].give_up_ms"};
+  EXPECT_EQ(faults, expected);
+  ASSERT_EQ(file.warnings.size(), 1u);
+  EXPECT_EQ(file.warnings[0].text(), toml.path + ":4: limits.memroy: unknown key, passed over");
+  try {
+    readConfig(toml.environment());
+    FAIL() << "taken";
+  } catch (const BadConfig& bad) {
+    EXPECT_EQ(std::string(bad.what()).find('\n'), std::string::npos) << "one line";
+  }
+}
+
+TEST(Toml, BrokenSyntaxIsNamedWithItsLine) {
+  TomlFile toml("listen = \"127.0.0.1:1\"\n[limits\n");
+  const ReadFile file = readFile(toml.path);
+  ASSERT_EQ(file.faults.size(), 1u);
+  EXPECT_EQ(file.faults[0].place, toml.path + ":2");
+}
+
+TEST(Toml, TheSameSettingsStandBehindBothForms) {
+  json j = configJson();
+  j["settings"]["tenants"] = {{{"name", "t"}, {"quotaRps", 7.5}}};
+  ReadFile platform;
+  platform.json = j;
+  const Config before = parse(j);
+  const std::vector<Shown> shown = show(before, platform, [](const char*) -> const char* { return nullptr; });
+  TomlFile toml(textOf(shown));
+  const ReadFile file = readFile(toml.path);
+  for (const Remark& r : file.faults) ADD_FAILURE() << r.text();
+  const Config after = readConfig(toml.environment());
+  EXPECT_EQ(valuesOf(before, platform), valuesOf(after, file));
+}
+
+TEST(Toml, ShownSettingsTellWhereTheyComeFrom) {
+  TomlFile toml(kToml);
+  const ReadFile file = readFile(toml.path);
+  const Environment environment = [](const char* name) {
+    return std::string_view(name) == "GW_LISTEN" ? "127.0.0.1:9" : nullptr;
+  };
+  std::map<std::string, Shown> shown;
+  for (const Shown& s : show(parseConfig(file.json, environment), file, environment)) shown[s.key] = s;
+  EXPECT_EQ(shown["listen"].from, "variable GW_LISTEN");
+  EXPECT_EQ(shown["listen"].value, "\"127.0.0.1:9\"");
+  EXPECT_EQ(shown["discovery"].from, toml.path + ":2");
+  EXPECT_EQ(shown["fleet.gateways"].value, "3");
+  EXPECT_EQ(shown["limits.sockets"].from, "default");
+  EXPECT_EQ(shown["class[0].give_up_ms"].value, "1000.5");
+}
+
+TEST(Toml, ANewFileIsTakenWholeOrNotAtAll) {
+  TomlFile toml(kToml);
+  const Config running = readConfig(toml.environment());
+  const std::string whole = kToml;
+  for (const std::string& bad :
+       {std::string(), whole.substr(0, whole.find("[[class]]")), whole.substr(0, whole.find("give_up_ms")),
+        whole + "worth = -1\n", std::string(whole).replace(whole.find("gateways = 3"), 12, "")}) {
+    toml.write(bad);
+    EXPECT_THROW(readConfig(toml.environment(), &running), BadConfig) << bad;
+  }
+  toml.write(whole + "worth = 2\n");
+  EXPECT_EQ(readConfig(toml.environment(), &running).module.classes[0].worth, 2);
+}
+
+// At the start the variable goes before the file; once running, the file tells where discovery has moved.
+TEST(Toml, TheFileMovesDiscoveryOnceRunning) {
+  TomlFile toml(kToml);
+  const Environment inner = toml.environment();
+  const Environment environment = [&](const char* name) {
+    return std::string_view(name) == "GW_DISCOVERY" ? "127.0.0.1:1" : inner(name);
+  };
+  const Config running = readConfig(environment);
+  EXPECT_EQ(running.discovery.port(), 1);
+  EXPECT_EQ(readConfig(environment, &running).discovery.port(), 8500);
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -16,8 +16,10 @@
 
 std::string program;  // set once, by main
 
-pid_t run(std::vector<std::string> variables) {
-  std::vector<char*> argv{program.data(), nullptr}, env;
+pid_t run(std::vector<std::string> variables, std::vector<std::string> arguments = {}) {
+  std::vector<char*> argv{program.data()}, env;
+  for (std::string& argument : arguments) argv.push_back(argument.data());
+  argv.push_back(nullptr);
   for (std::string& variable : variables) env.push_back(variable.data());
   env.push_back(nullptr);
   pid_t pid = 0;
@@ -52,6 +54,20 @@
   std::remove(path.c_str());
 }
 
+TEST(Program, ItsCommandsEndWithTheDocumentedCodes) {
+  const std::string path = ::testing::TempDir() + "commands_" + std::to_string(getpid()) + ".toml";
+  std::ofstream(path) << "listen = \"127.0.0.1:8080\"\n[[class]]\nname = \"a\"\naim_ms = 5\n";
+  EXPECT_EQ(exitCode(run({}, {"version"})), 0);
+  EXPECT_EQ(exitCode(run({}, {"--help"})), 0);
+  EXPECT_EQ(exitCode(run({}, {"frobnicate"})), 2);
+  EXPECT_EQ(exitCode(run({}, {"check", "--config", path})), 2) << "no discovery";
+  EXPECT_EQ(exitCode(run({}, {"check", "--config", path, "--discovery", "127.0.0.1:1"})), 0);
+  EXPECT_EQ(exitCode(run({"GW_CONFIG=" + path, "GW_DISCOVERY=127.0.0.1:1"}, {"show"})), 0);
+  EXPECT_EQ(exitCode(run({}, {"show"})), 2) << "no file";
+  EXPECT_EQ(exitCode(run({}, {"serve", "--config", path + ".none"})), 2);
+  std::remove(path.c_str());
+}
+
 TEST(Program, SigtermEndsItWithZero) {
   asio::io_context io;
   tcp::endpoint free;
