--- a/src/lab/store.cpp
+++ b/src/lab/store.cpp
@@ -9,19 +9,21 @@
 namespace {
 
 constexpr const char* kTables = R"(
-  CREATE TABLE IF NOT EXISTS runs (id INTEGER PRIMARY KEY, label TEXT NOT NULL, at TEXT NOT NULL, scenario TEXT,
-    policy TEXT, seed INTEGER, g REAL, whole REAL, worst_window REAL, worst_at REAL, worst_class REAL,
+  CREATE TABLE IF NOT EXISTS runs (id INTEGER PRIMARY KEY, label TEXT NOT NULL, at TEXT NOT NULL,
+    scenario TEXT, policy TEXT, seed INTEGER, g REAL, whole REAL, worst_window REAL, worst_at REAL, worst_class REAL,
     price_cross_zone REAL, price_waste REAL, price_late_fail REAL, price_handshake REAL, price_choke REAL,
-    calls INTEGER, tries INTEGER, attempts INTEGER, connections INTEGER, events INTEGER, refused REAL, failed REAL,
-    choked REAL, p50 REAL, p90 REAL, p99 REAL);
+    calls INTEGER, tries INTEGER, attempts INTEGER, connections INTEGER, events INTEGER,
+    refused REAL, failed REAL, choked REAL, p50 REAL, p90 REAL, p99 REAL);
   CREATE TABLE IF NOT EXISTS classes (run INTEGER REFERENCES runs, name TEXT, asked REAL, served REAL,
     calls INTEGER, in_time INTEGER, late INTEGER, refused INTEGER, failed INTEGER);
   CREATE TABLE IF NOT EXISTS seconds (run INTEGER REFERENCES runs, second INTEGER, asked REAL, in_time REAL,
     late REAL, calls INTEGER, tries INTEGER, refused INTEGER, failed INTEGER, attempts INTEGER, full INTEGER,
-    timeouts INTEGER, connect_failed INTEGER, resets INTEGER, errors INTEGER, cutoff REAL, p50 REAL, p99 REAL);
+    timeouts INTEGER, connect_failed INTEGER, resets INTEGER, errors INTEGER, cutoff REAL,
+    p50 REAL, p99 REAL);
   CREATE TABLE IF NOT EXISTS servers (run INTEGER REFERENCES runs, number INTEGER, address TEXT, zone TEXT,
     kind TEXT, cores REAL, speed REAL, held BLOB, states BLOB);
-  CREATE TABLE IF NOT EXISTS chokes (run INTEGER REFERENCES runs, server INTEGER, begins REAL, ends REAL, held REAL);
+  CREATE TABLE IF NOT EXISTS chokes (run INTEGER REFERENCES runs, server INTEGER, begins REAL, ends REAL,
+    held REAL);
   CREATE TABLE IF NOT EXISTS breaches (run INTEGER REFERENCES runs, rule TEXT, at REAL, request INTEGER,
     server TEXT, what TEXT);
   CREATE TABLE IF NOT EXISTS happened (run INTEGER REFERENCES runs, text TEXT);
