--- a/src/lab/store.cpp
+++ b/src/lab/store.cpp
@@ -10,7 +10,8 @@
 
 constexpr const char* kTables = R"(
   CREATE TABLE IF NOT EXISTS runs (id INTEGER PRIMARY KEY, label TEXT NOT NULL, at TEXT NOT NULL,
-    scenario TEXT, policy TEXT, seed INTEGER, g REAL, whole REAL, worst_window REAL, worst_at REAL, worst_class REAL,
+    scenario TEXT, policy TEXT, seed INTEGER, g REAL, whole REAL, worst_window REAL, worst_at REAL,
+    worst_class REAL,
     price_cross_zone REAL, price_waste REAL, price_late_fail REAL, price_handshake REAL, price_choke REAL,
     calls INTEGER, tries INTEGER, attempts INTEGER, connections INTEGER, events INTEGER,
     refused REAL, failed REAL, choked REAL, p50 REAL, p90 REAL, p99 REAL);
