Give the figures also as Prometheus text, with the times of requests by class and outcome

/metrics at the management address: the counters of /ops/stats through prometheus-cpp's serializer, and a histogram of times for each class and outcome, from a request's last byte to its answer's last. All on the one loop; nothing is rendered until asked for.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -164,7 +164,7 @@
                 [this](ExchangeId exchange) { uploaded(exchange); },
                 [this](const std::string& target, bool busy) {
                   statistics_.answered(statistics_.classOf(firstPart(target)),
-                                       busy ? Statistics::End::busy : Statistics::End::failure);
+                                       busy ? Statistics::End::busy : Statistics::End::failure, std::nullopt);
                 }},
                budget_) {
   take(config.module);
@@ -172,13 +172,10 @@
   // The module asks discovery once it was given a list, an empty one too.
   told(config.known ? *config.known : HostList{0, true, {}}, ListKind::restored);
   if (config.management) {
-    management_.emplace(
-        io, *config.management,
-        Management::Callbacks{[this] { return takesClients(); },
-                              [this] {
-                                const auto hosts = balancer_.hostCounts();
-                                return statistics_.render({hosts_.written(), hosts.listed, hosts.avoided});
-                              }});
+    management_.emplace(io, *config.management,
+                        Management::Callbacks{[this] { return takesClients(); },
+                                              [this] { return statistics_.render(gauges()); },
+                                              [this] { return statistics_.metrics(gauges()); }});
     if (listen_.port() != 0) try {  // a port that the kernel picks is shared with nobody
         twin_.emplace(io, config.tmp, listen_, [this] { share(); });
       } catch (const std::runtime_error& bad) {  // it serves alone
@@ -300,8 +297,9 @@
     HttpResponse response = plain(status);
     response.keep_alive(false);
     const std::size_t counted = statistics_.classOf(firstPart(message.target()));
-    return clients_.answer(request.exchange, std::move(response),
-                           counting(counted, Statistics::End::failure, false));
+    return clients_.answer(request.exchange, std::move(response), [this, counted](bool) {
+      statistics_.answered(counted, Statistics::End::failure, std::nullopt);
+    });
   }
   asked.id = ++lastRequest_;
   const Duration left = asked.left - kAnswerMargin;
@@ -316,6 +314,7 @@
   exchange.upload = std::move(request.upload);
   exchange.length = request.length;
   exchange.taken = !exchange.upload;
+  exchange.came = request.came;
   if (exchange.taken) statistics_.taken();
   exchange.message = std::move(request.message);
   byClient_.emplace(request.exchange, asked.id);
@@ -365,8 +364,7 @@
   byClient_.erase(known);
   Exchange& exchange = exchanges_.at(id);
   exchange.ended = true;
-  statistics_.answered(exchange.counted, Statistics::End::failure);
-  if (exchange.taken) statistics_.ended();
+  counting(exchange, Statistics::End::failure)(false);
   over_.push_back(id);
   balancer_.onClientGone(now(), id);
   drainActions();
@@ -378,6 +376,7 @@
   if (known == byClient_.end()) return;
   Exchange& exchange = exchanges_.at(known->second);
   exchange.taken = true;
+  exchange.came = Clock::now();
   statistics_.taken();
   for (const std::uint32_t attempt : exchange.attempts)
     hosts_.uploaded({known->second, attempt}, exchange.left);
@@ -488,18 +487,24 @@
          action.kind == ActionKind::refuse ? Statistics::End::busy : Statistics::End::failure);
 }
 
-ClientServer::Answered Gateway::counting(std::size_t cls, Statistics::End end, bool taken) {
-  return [this, cls, end, taken](bool whole) {
-    statistics_.answered(cls, whole ? end : Statistics::End::failure);
-    if (taken) statistics_.ended();
+ClientServer::Answered Gateway::counting(const Exchange& exchange, Statistics::End end) {
+  return [this, cls = exchange.counted, end, taken = exchange.taken, came = exchange.came](bool whole) {
+    std::optional<Clock::duration> took;
+    if (taken) took = Clock::now() - came, statistics_.ended();
+    statistics_.answered(cls, whole ? end : Statistics::End::failure, took);
   };
 }
 
+Statistics::Gauges Gateway::gauges() const {
+  const auto hosts = balancer_.hostCounts();
+  return {hosts_.written(), hosts.listed, hosts.avoided};
+}
+
 void Gateway::answer(Exchange& exchange, HttpResponse response, Statistics::End end,
                      std::shared_ptr<BodyStream> body, std::optional<std::uint64_t> length) {
   exchange.ended = true;
   byClient_.erase(exchange.client);
-  auto answered = counting(exchange.counted, end, exchange.taken);
+  auto answered = counting(exchange, end);
   if (body)
     clients_.answer(exchange.client, std::move(response), std::move(body), length, std::move(answered));
   else clients_.answer(exchange.client, std::move(response), std::move(answered));
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -60,11 +60,12 @@
     std::optional<std::uint64_t> length;  // of the upload
     ochrehill::Duration left{};           // from its last byte on
     BodyShare held;
-    std::vector<std::uint32_t> attempts;  // out, of an upload under way
-    bool taken = false;                   // its last byte has come
-    std::size_t counted = 0;              // its class in the statistics
-    std::uint32_t out = 0;                // attempts
-    bool ended = false;                   // answered, or its client left
+    std::vector<std::uint32_t> attempts;           // out, of an upload under way
+    bool taken = false;                            // its last byte has come,
+    std::chrono::steady_clock::time_point came{};  // then
+    std::size_t counted = 0;                       // its class in the statistics
+    std::uint32_t out = 0;                         // attempts
+    bool ended = false;                            // answered, or its client left
   };
 
   ochrehill::Time now() const;
@@ -83,7 +84,8 @@
   void settle(AttemptEnd end);
   void answer(Exchange& exchange, HttpResponse response, Statistics::End end,
               std::shared_ptr<BodyStream> body = nullptr, std::optional<std::uint64_t> length = {});
-  ClientServer::Answered counting(std::size_t cls, Statistics::End end, bool taken);
+  ClientServer::Answered counting(const Exchange& exchange, Statistics::End end);
+  Statistics::Gauges gauges() const;
   bool takesClients() const { return ready_ && !draining_ && clients_.takesClients(); }
   void take(const ochrehill::Settings& settings);
   void open();
--- a/src/net/management.cpp
+++ b/src/net/management.cpp
@@ -67,12 +67,19 @@
       return text(http::status::bad_request, "no proper HTTP/1.1 call\n");
     const auto target = call.target().substr(0, call.target().find('?'));
     const bool readiness = target == "/ops/readiness";
-    if (!readiness && target != "/ops/stats") return text(http::status::not_found, "no such call\n");
+    const bool metrics = target == "/metrics";
+    if (!readiness && !metrics && target != "/ops/stats")
+      return text(http::status::not_found, "no such call\n");
     if (call.method() != http::verb::get) {
       Answer answer = text(http::status::method_not_allowed, "only GET\n");
       answer.set(http::field::allow, "GET");
       return answer;
     }
+    if (metrics) {
+      Answer answer = text(http::status::ok, owner_->callbacks_.metrics());
+      answer.set(http::field::content_type, "text/plain; version=0.0.4; charset=utf-8");
+      return answer;
+    }
     if (!readiness) return text(http::status::ok, owner_->callbacks_.stats());
     return owner_->callbacks_.ready() ? text(http::status::ok, "ready\n")
                                       : text(http::status::service_unavailable, "not ready\n");
--- a/src/net/management.hpp
+++ b/src/net/management.hpp
@@ -18,7 +18,7 @@
   static constexpr std::size_t kConnections = 8;  // the longest unfinished one makes room for the next
   struct Callbacks {
     std::function<bool()> ready;
-    std::function<std::string()> stats;
+    std::function<std::string()> stats, metrics;
   };
 
   // Listens at once. Throws boost::system::system_error.
--- a/src/net/statistics.hpp
+++ b/src/net/statistics.hpp
@@ -1,8 +1,14 @@
 // Counters from the start of the process, kept where a thing ends and rendered when asked for.
 #pragma once
 
+#include <prometheus/histogram.h>
+
+#include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -26,15 +32,18 @@
 
   void taken() { ++inflight_; }
   void ended() { --inflight_; }  // one that was taken
-  void answered(std::size_t cls, End end);
+  /// `took`: from the request's last byte to its answer's last; none for what was turned away for its form.
+  void answered(std::size_t cls, End end, std::optional<std::chrono::nanoseconds> took);
   void reconfigured(bool taken) { ++(taken ? reconfigOk_ : reconfigFailed_); }
 
-  std::string render(const Gauges& gauges) const;  // a line app.NAME[.CLASS]=N for each
+  std::string render(const Gauges& gauges) const;   // a line app.NAME[.CLASS]=N for each
+  std::string metrics(const Gauges& gauges) const;  // the same and the times, as Prometheus text
 
  private:
   struct Class {
     std::string name;
     std::uint64_t success = 0, busy = 0, failure = 0;
+    std::array<std::unique_ptr<prometheus::Histogram>, 3> times;  // by End, in seconds
   };
   std::vector<Class> classes_;
   std::unordered_map<std::string, std::size_t> byName_;
--- a/tests/management_test.cpp
+++ b/tests/management_test.cpp
@@ -44,6 +44,29 @@
   EXPECT_TRUE(until([&] { return drained; }));
 }
 
+TEST_F(ManagementTest, FiguresAndTimesAlsoAsPrometheusText) {
+  addHost("a", always(answerText(200, "", "served")));
+  start();
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
+  EXPECT_EQ(ask("GET /read HTTP/1.1\r\nHost: x\r\n\r\n").result_int(), 400u) << "no id";
+  const Response answer = get("/metrics");
+  EXPECT_EQ(answer.result_int(), 200u);
+  EXPECT_EQ(answer["Content-Type"], "text/plain; version=0.0.4; charset=utf-8");
+  const std::string& text = answer.body();
+  const auto has = [&](const std::string& line) {
+    return ("\n" + text).find("\n" + line + "\n") != std::string::npos;
+  };
+  EXPECT_TRUE(has("# TYPE hollyrun_request_seconds histogram")) << text;
+  EXPECT_TRUE(has("hollyrun_requests_total{class=\"read\",outcome=\"success\"} 3")) << text;
+  EXPECT_TRUE(has("hollyrun_requests_total{class=\"read\",outcome=\"failure\"} 1"));
+  EXPECT_TRUE(has("hollyrun_request_seconds_count{class=\"read\",outcome=\"success\"} 3"));
+  EXPECT_TRUE(has("hollyrun_request_seconds_count{class=\"read\",outcome=\"failure\"} 0")) << "it never ran";
+  EXPECT_TRUE(has("hollyrun_request_seconds_bucket{class=\"read\",outcome=\"success\",le=\"+Inf\"} 3"));
+  EXPECT_TRUE(has("hollyrun_backend_calls_total 3"));
+  EXPECT_TRUE(has("hollyrun_inflight 0"));
+  EXPECT_TRUE(has("hollyrun_hosts_listed 1"));
+}
+
 TEST_F(ManagementTest, OnlyTheCallsThatThePageNames) {
   addHost("a", always(answerText(200, "", "")));
   start();
@@ -73,7 +96,8 @@
 TEST_F(ManagementTest, AConnectionWithNoWholeCallIsClosedInTime) {
   addHost("a", always(answerText(200, "", "")));
   start();
-  Management short_lived(io, loopback(), {[] { return true; }, [] { return std::string(); }},
+  Management short_lived(io, loopback(),
+                         {[] { return true; }, [] { return std::string(); }, [] { return std::string(); }},
                          std::chrono::milliseconds(50));
   auto c = Client::connect(io, short_lived.listening());
   c->send("GET /ops/stats HT");
