--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -16,15 +16,16 @@
 using ochrehill::Group;
 constexpr double kMost = std::numeric_limits<double>::max();
 
+std::string placeOf(const toml::node* node) {
+  if (!node || !node->source().path) return "command line";
+  const auto line = node->source().begin.line;
+  return *node->source().path + (line > 0 ? ":" + std::to_string(line) : "");
+}
+
 struct Faults {
   std::vector<std::string> lines;
   void add(const toml::node* node, const std::string& key, const std::string& what) {
-    std::string where = "command line";
-    if (node && node->source().path) {
-      where = *node->source().path;
-      if (node->source().begin.line > 0) where += ":" + std::to_string(node->source().begin.line);
-    }
-    lines.push_back(where + ": " + key + ": " + what);
+    lines.push_back(placeOf(node) + ": " + key + ": " + what);
   }
 };
 
@@ -210,6 +211,7 @@
   in.range("part", t.part, 0, 1);
   in.range("size", t.size);
   in.range("every_s", t.everyS, 0.01);
+  t.place = placeOf(table);
   in.text("zone", t.zone);
   in.text("effect", t.effect, {"safe", "keyed", "unsafe"});
   in.text("class", t.className);
@@ -351,17 +353,18 @@
 }
 
 void checkWhole(const Scenario& s, Faults& faults) {
-  const auto fault = [&](const std::string& what) { faults.lines.push_back(s.file + ": " + what); };
-  if (s.kinds.empty()) fault("kind: at least one [[kind]] is needed");
-  if (s.classes.empty()) fault("class: at least one [[class]] is needed");
+  if (s.kinds.empty()) faults.lines.push_back(s.file + ": kind: at least one [[kind]] is needed");
+  if (s.classes.empty()) faults.lines.push_back(s.file + ": class: at least one [[class]] is needed");
   for (std::size_t i = 0; i < s.troubles.size(); ++i) {
     const Trouble& t = s.troubles[i];
-    const std::string key = "trouble[" + std::to_string(i) + "].";
+    const auto fault = [&](const std::string& key, const std::string& what) {
+      faults.lines.push_back(t.place + ": trouble[" + std::to_string(i) + "]." + key + ": " + what);
+    };
     if (!t.zone.empty() && std::find(s.zones.begin(), s.zones.end(), t.zone) == s.zones.end())
-      fault(key + "zone: '" + t.zone + "' is none of fleet.zones");
+      fault("zone", "'" + t.zone + "' is none of fleet.zones");
     const bool known = std::any_of(s.classes.begin(), s.classes.end(),
                                    [&](const RequestClass& c) { return c.set.name == t.className; });
-    if (!t.className.empty() && !known) fault(key + "class: '" + t.className + "' is no [[class]]");
+    if (!t.className.empty() && !known) fault("class", "'" + t.className + "' is no [[class]]");
   }
 }
 
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -50,6 +50,7 @@
   Range chance = 1;  // that it happens
   Range atS = 0, lengthS = 0, part = 0, size = 0, everyS = 1;
   std::string zone, effect, className;  // zone: empty draws one
+  std::string place;                    // file and line
 };
 
 struct Scenario {
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -562,41 +562,37 @@
 
   void carryOut(std::uint32_t g, const Action& a) {
     Gateway& w = gateways_[g];
-    {
-      switch (a.kind) {
-        case ActionKind::send: send(g, a); break;
-        case ActionKind::refuse:
-        case ActionKind::fail: {
-          const std::uint32_t id = tryOf(a.request, "answered");
-          if (tries_[id].ended) break;
-          const bool refused = a.kind == ActionKind::refuse;
-          checker_.answered(now_, a.request, refused);
-          end(id, false, refused, s_.retryAfter ? std::min(a.span, millis(s_.maxRetryAfterMs)) : Duration(0));
-          break;
-        }
-        case ActionKind::cancel: {
-          const Try& t = tries_[tryOf(a.request, "cancelled")];
-          if (a.attempt >= t.attempts) throw std::logic_error("an attempt was cancelled that was never made");
-          finishAttempt(t.ids[a.attempt], Outcome::cancelled, true);
-          break;
-        }
-        case ActionKind::close: {
-          const std::uint32_t m = serverOf(g, a.host);
-          if (m < w.pools.size()) {
-            if (w.pools[m].epoch == machines_[m].epoch) lower(machines_[m], w.pools[m].idle.size());
-            w.pools[m].idle.clear();
-          }
-          break;
+    switch (a.kind) {
+      case ActionKind::send: send(g, a); break;
+      case ActionKind::refuse:
+      case ActionKind::fail: {
+        const std::uint32_t id = tryOf(a.request, "answered");
+        if (tries_[id].ended) break;
+        const bool refused = a.kind == ActionKind::refuse;
+        checker_.answered(now_, a.request, refused);
+        end(id, false, refused, s_.retryAfter ? std::min(a.span, millis(s_.maxRetryAfterMs)) : Duration(0));
+        break;
+      }
+      case ActionKind::cancel: {
+        const Try& t = tries_[tryOf(a.request, "cancelled")];
+        if (a.attempt >= t.attempts) throw std::logic_error("an attempt was cancelled that was never made");
+        finishAttempt(t.ids[a.attempt], Outcome::cancelled, true);
+        break;
+      }
+      case ActionKind::close: {
+        const std::uint32_t m = serverOf(g, a.host);
+        if (m < w.pools.size()) {
+          if (w.pools[m].epoch == machines_[m].epoch) lower(machines_[m], w.pools[m].idle.size());
+          w.pools[m].idle.clear();
         }
-        case ActionKind::wake:
-          at(door(std::max(a.span, now_ + Duration(1))), Happens::wake, g, w.life);
-          break;
-        case ActionKind::log:
-          if (result_.said.size() < kSaidMost)
-            result_.said.push_back(stamp() + "[" + std::to_string(g) + "] " + a.text);
-          break;
-        case ActionKind::subscribe: break;
+        break;
       }
+      case ActionKind::wake: at(door(std::max(a.span, now_ + Duration(1))), Happens::wake, g, w.life); break;
+      case ActionKind::log:
+        if (result_.said.size() < kSaidMost)
+          result_.said.push_back(stamp() + "[" + std::to_string(g) + "] " + a.text);
+        break;
+      case ActionKind::subscribe: break;
     }
   }
 
@@ -736,7 +732,6 @@
     std::vector<Server::Ended> ended;
     ended.swap(m.server.ended());
     for (const Server::Ended& e : ended) {
-      work_ += e.work;
       Attempt& a = attempts_[e.attempt];
       const bool wanted = a.out && !tries_[a.of].ended && a.outcome == Outcome::served;
       if (!wanted) waste_ += e.work;
@@ -1267,7 +1262,7 @@
   std::vector<Try> tries_;
   std::vector<Attempt> attempts_;
   std::uint32_t cutZone_ = kNobody;
-  double waste_ = 0, work_ = 0;
+  double waste_ = 0;
   std::uint64_t crossed_ = 0;
   decltype(boost::histogram::make_histogram(
       boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(2000, 0.1,
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -65,6 +65,10 @@
   const std::string file = folder.file("broken.toml", "[load\nlevel = 1\n");
   EXPECT_NE(faultsOf(file).find(file + ":1"), std::string::npos) << faultsOf(file);
   EXPECT_NE(faultsOf(folder.file("none.toml")).find("none.toml"), std::string::npos);
+  const std::string zone =
+      folder.file("zone.toml", "extends = \"" + shortScenario("calm") +
+                                   "\"\n\n[[trouble]]\nkind = \"zone\"\nzone = \"nowhere\"\n");
+  EXPECT_EQ(faultsOf(zone), zone + ":3: trouble[0].zone: 'nowhere' is none of fleet.zones");
   const std::string loop = folder.file("loop.toml", "extends = \"loop.toml\"\n");
   EXPECT_NE(faultsOf(loop).find("circle"), std::string::npos) << faultsOf(loop);
 }
