--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -72,9 +72,14 @@
   std::chrono::steady_clock::time_point told_;
 };
 
-std::vector<Result> playJobs(const std::vector<Day>& jobs, const Options& o) {
-  Progress progress(jobs.size());
-  return playAll(jobs, o.threads, o.series, std::ref(progress));
+// Every scenario with every seed.
+std::vector<Result> playAll(const std::vector<Scenario>& scenarios, const std::string& policy,
+                            const Options& o) {
+  std::vector<Day> days;
+  for (const Scenario& s : scenarios)
+    for (std::uint64_t seed : seedsFrom(o.seeds)) days.push_back({&s, policy, seed});
+  Progress progress(days.size());
+  return hollyrun::lab::playAll(days, o.threads, o.series, std::ref(progress));
 }
 
 std::vector<std::string> merged(const std::vector<std::string>& a, const std::vector<std::string>& b) {
@@ -121,10 +126,7 @@
   std::vector<Scenario> scenarios;
   for (const std::string& file : o.files) scenarios.push_back(readScenario(file, o.set));
   policyNamed(o.policy);
-  std::vector<Day> jobs;
-  for (const Scenario& s : scenarios)
-    for (std::uint64_t seed : seedsFrom(o.seeds)) jobs.push_back({&s, o.policy, seed});
-  const std::vector<Result> results = playJobs(jobs, o);
+  const std::vector<Result> results = playAll(scenarios, o.policy, o);
   keep(o, results);
   if (results.size() == 1 || o.text) {
     for (const Result& r : results) {
@@ -155,10 +157,7 @@
   }
   std::vector<Scenario> scenarios;
   for (const std::string& file : o.files) scenarios.push_back(readScenario(file, merged(o.set, arm.set)));
-  std::vector<Day> jobs;
-  for (const Scenario& s : scenarios)
-    for (std::uint64_t seed : seedsFrom(o.seeds)) jobs.push_back({&s, arm.policy, seed});
-  const std::vector<Result> results = playJobs(jobs, o);
+  const std::vector<Result> results = playAll(scenarios, arm.policy, o);
   code = std::max(code, breachesOf(results));
   for (const Result& r : results) all.insert_or_assign({r.scenario, r.seed}, r);
   return all;
@@ -221,10 +220,7 @@
       std::vector<Scenario> scenarios;
       for (const std::string& file : o.files)
         scenarios.push_back(readScenario(file, merged(o.set, {key + "=" + value})));
-      std::vector<Day> jobs;
-      for (const Scenario& s : scenarios)
-        for (std::uint64_t seed : seedsFrom(o.seeds)) jobs.push_back({&s, policy, seed});
-      const std::vector<Result> results = playJobs(jobs, o);
+      const std::vector<Result> results = playAll(scenarios, policy, o);
       keep(o, results);
       code = std::max(code, breachesOf(results));
       std::vector<double> g, refused, failed, jammed, p99;
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -193,7 +193,7 @@
   c.set.aim = millis(aim);
   c.set.giveUp = millis(giveUp);
   c.set.window = millis(window);
-  c.set.effect = effect == "safe" ? Effect::retryable : effect == "keyed" ? Effect::dedup : Effect::fragile;
+  c.set.effect = effectNamed(effect);
   c.set.group = group == "all" ? Group::all : group == "zone" ? Group::zone : Group::cell;
   s.classes.push_back(c);
 }
@@ -370,6 +370,10 @@
 
 }  // namespace
 
+Effect effectNamed(const std::string& name) {
+  return name == "safe" ? Effect::retryable : name == "keyed" ? Effect::dedup : Effect::fragile;
+}
+
 Scenario readScenario(const std::string& file, const std::vector<std::string>& set) {
   Scenario s;
   s.file = file;
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -97,6 +97,9 @@
   using std::runtime_error::runtime_error;
 };
 
+/// safe, keyed or unsafe, as the scenario words it.
+ochrehill::Effect effectNamed(const std::string& name);
+
 /// Reads a scenario and the one that it `extends`. `set` are settings of the command line, `load.level=0.9`,
 /// that go over the file's. Throws ScenarioError that names all faults.
 Scenario readScenario(const std::string& file, const std::vector<std::string>& set = {});
--- a/src/lab/server.cpp
+++ b/src/lab/server.cpp
@@ -92,14 +92,18 @@
   return last_ + std::max(seconds((first - progress_) / speed), Duration(0)) + Duration(1);
 }
 
+void Server::noteBusy(double passed) {
+  const double busy = static_cast<double>(running_.size()) / static_cast<double>(figures_.slots);
+  busy_ += (1 - std::exp(-passed / kBusySmooth)) * (busy - busy_);
+}
+
 void Server::advance(Time now) {
   while (const auto end = nextEnd()) {
     if (*end > now) break;
     const auto first = std::min_element(running_.begin(), running_.end(),
                                         [](const Running& a, const Running& b) { return a.until < b.until; });
     const double passed = inSeconds(*end - last_);
-    busy_ += (1 - std::exp(-passed / kBusySmooth)) *
-             (static_cast<double>(running_.size()) / static_cast<double>(figures_.slots) - busy_);
+    noteBusy(passed);
     progress_ = std::max(progress_, first->until);
     last_ = *end;
     done_ += first->work;
@@ -111,8 +115,7 @@
   if (now <= last_) return;
   const double passed = inSeconds(now - last_);
   progress_ += rate() * passed;
-  busy_ += (1 - std::exp(-passed / kBusySmooth)) *
-           (static_cast<double>(running_.size()) / static_cast<double>(figures_.slots) - busy_);
+  noteBusy(passed);
   last_ = now;
   observe(now);
 }
--- a/src/lab/server.hpp
+++ b/src/lab/server.hpp
@@ -101,7 +101,8 @@
   };
   void start(Time now);
   void observe(Time now);
-  double rate() const;  // of each request in work
+  void noteBusy(double passed);  // seconds since the last note
+  double rate() const;           // of each request in work
   double workOf(const Job& job, Time now);
 
   ServerFigures figures_;
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -1046,9 +1046,7 @@
     if (attempts >= 1) settings_.maxAttempts = static_cast<std::uint32_t>(std::min(attempts, 8.0));
     for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
       if (settings_.classes[i].name != t.className || t.effect.empty()) continue;
-      settings_.classes[i].effect = t.effect == "safe"    ? Effect::retryable
-                                    : t.effect == "keyed" ? Effect::dedup
-                                                          : Effect::fragile;
+      settings_.classes[i].effect = effectNamed(t.effect);
     }
     note("settings changed");
     for (std::uint32_t g = 0; g < gateways_.size(); ++g)
