A machine kind learns from clipped losses, so a few jammed hosts do not speak for it

Cause: the pace of a kind was the mean of its hosts' answers and losses, and a loss counts up to twenty. Change: what teaches a kind counts up to twice the kind's pace. A kind that only loses still climbs (test kept).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -299,8 +299,8 @@
     }
   }
 
-  // Danger: what is lost must teach the kind, too. If only answers do, a kind that drowns answers little and
-  // goes on being taken for a usual one by every gateway that has not met the host itself.
+  // Danger: what is lost must teach the kind, too, or one that drowns answers little and goes on being taken
+  // for a usual one. Clipped, or a tenth of its hosts that jam shut the other nine out at every gateway.
   void learnPace(Host& h, double sample) {
     sample = std::min(sample, 20.0);
     h.answers += 1;
@@ -308,7 +308,8 @@
         std::max(kPaceGain, kThinFirst * (1 - evidence()) / (h.answers + kKindPrior)) * (sample - h.pace);
     Kind& k = kinds[h.kind];
     k.answers += 1;
-    k.pace += std::max(kNormGain, 1 / (k.answers + kKindPrior)) * (sample - k.pace);
+    k.pace +=
+        std::max(kNormGain, 1 / (k.answers + kKindPrior)) * (std::min(sample, kNormClip * k.pace) - k.pace);
   }
 
   // Live weights tell what a host holds of all gateways together, some time ago. Danger: a host that all pass
--- a/tests/bank_test.cpp
+++ b/tests/bank_test.cpp
@@ -350,6 +350,38 @@
   }
 }
 
+// A tenth of a kind's hosts jammed shut out all of it: the mean of the kind followed what timed out there.
+TEST(Pace, AFewJammedHostsDoNotSlowTheirKind) {
+  std::vector<HostEntry> list;
+  for (int i = 0; i < 40; ++i) {
+    list.push_back(makeHost(i));
+    list.back().kind = i % 2 ? "partly" : "good";
+  }
+  Settings s = makeSettings();
+  s.groupSize = 100;
+  s.warmKeys = true;
+  Driver d(s, 0);
+  d.balancer.onHosts(d.now, ListKind::replace, {list.begin(), list.begin() + 20});
+  for (int i = 0; i < 400; ++i) {
+    d.request(0);
+    while (!d.out.empty()) {
+      const Sent o = d.out.front();
+      const bool jammed = o.host == d.host(1) || o.host == d.host(3);
+      d.settle(o, jammed ? Outcome::timeout : Outcome::served, !jammed, milliseconds(jammed ? 800 : 40));
+    }
+    d.advance(milliseconds(50), milliseconds(50));
+  }
+  d.balancer.onHosts(d.now, ListKind::update, {list.begin() + 20, list.end()});
+  d.forget();
+  for (int i = 0; i < 400; ++i) {
+    d.request(0);
+    while (!d.out.empty()) d.settle(Sent(d.out.front()), Outcome::cancelled, true);  // teaches nothing
+  }
+  std::size_t good = 0, partly = 0;
+  for (int h = 20; h < 40; ++h) (h % 2 ? partly : good) += d.sentTo(d.host(h));
+  EXPECT_GT(3 * partly, 2 * good);
+}
+
 // One answer in four takes for ever. By the mean of all the usual time followed them, and a second copy of
 // what hangs came too late to help.
 TEST(Pace, TheUsualTimeIsThatOfMostAnswers) {
