An attempt counts in flight for longer as all answers slow down

So the count is the cause: held for the allowed mean time at the most, a pool that is slow as a whole is counted as just full. Change: that time grows with the third power of the usual time against the least of it; a tenth of the hosts moves that by a few per cent, a pool by several times.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -3,7 +3,6 @@
 // A request is scored 1 to 100 by worth, refused unsent when it scores below the cutoff, and otherwise sent
 // to a random ready host that holds few of our requests, else to the lighter of two draws. The cutoff is
 // 100 x^3, where x is the larger of the error overload and the in-flight overload of the pool.
-// Plain state types and pure helpers: state.hpp.
 #include <algorithm>
 #include <cmath>
 #include <deque>
@@ -28,8 +27,7 @@
 constexpr double kSteadyRate = 80;              // requests a second that make half a second steady enough
 constexpr double kSlowGain = 0.008;             // per sweep: the traffic mix is remembered about ten seconds
 constexpr double kNormGain = 0.02;  // per answer: a usual time over the last fifty, at first over all
-// Danger: the mean of all answers follows the slow few, and by a long usual time nothing looks slow.
-constexpr double kNormClip = 2;     // an answer counts as this many usual times at the most
+constexpr double kNormClip = 2;  // an answer counts as this many usual times at most: the slow few weigh less
 constexpr double kKindPrior = 4;    // answers that a kind is taken for a usual one before it is known
 constexpr double kPaceFade = 0.05;  // per sweep without requests: an old pace fades in two seconds at least
 constexpr double kPaceGain = 0.1;   // per answer: a host's pace, over its last ten answers
@@ -50,10 +48,9 @@
 // usual times' worth before the silence shows.
 constexpr Duration kMaxTimeLeast = milliseconds(80);
 constexpr double kInflightThreshold = 0.5;  // share of that maximum below which nothing is cut
-constexpr double kHeldTimes = 3;    // an attempt counts for so many of the mean time allowed at the most,
-constexpr double kMetWell = 8;      // where a host is met so often a second that a jam shows in half a one
-constexpr double kHeldGain = 0.05;  // per arrival: in-flight over the last twenty arrivals
-constexpr double kHeldSweep = 0.5;  // per sweep
+constexpr double kHeldTimes = 3;  // an attempt counts for so many of the mean time allowed at the most,
+constexpr double kMetWell = 8;    // where a host is met so often a second that a jam shows in half a one
+constexpr double kHeldGain = 0.05, kHeldSweep = 0.5;  // per arrival, over the last twenty; per sweep
 // Danger: what one of many gateways holds swings by its square root; the cubic makes refusals of the swing.
 constexpr double kThinRange = 0.5;   // full cut later than with much evidence,
 constexpr double kThinEarly = 0.25;  // its beginning as much earlier: the swing lies about the same maximum
@@ -427,11 +424,14 @@
     return leastNorm > 0 ? std::min(time, std::max(kMaxNorms * leastNorm, toSeconds(kMaxTimeLeast))) : time;
   }
 
-  // Danger: what a few jammed hosts hold until it times out fills the maximum of a pool that idles. A gateway
-  // that seldom meets a host learns of it late; there an attempt counts for the allowed mean time at most.
+  // Danger: what a few jammed hosts hold until it times out fills the maximum of a pool that idles. Where
+  // hosts are seldom met an attempt counts for the allowed mean time; longer as all answers slow, for that is
+  // no few.
   double heldNow() const {
     const double met = askedRate / static_cast<double>(std::max<std::size_t>(listed.size(), 1));
-    const double times = 1 + (kHeldTimes - 1) * std::min(met / kMetWell, 1.0);
+    const double slowed = leastNorm > 0 ? norm / leastNorm : 1;
+    const double times =
+        std::max(1 + (kHeldTimes - 1) * std::min(met / kMetWell, 1.0), slowed * slowed * slowed);
     const Time since = now - scaled(seconds(1), times * maxTime());
     double held = 0;
     for (HostId id : listed) {
--- a/tests/bank_test.cpp
+++ b/tests/bank_test.cpp
@@ -195,6 +195,26 @@
   EXPECT_LT(d.count(ActionKind::refuse) - before, 60u) << "of 600";
 }
 
+// All servers together take five times as long: that is an overload, however little a gateway holds itself.
+TEST(Bank, APoolThatSlowsDownWholeIsRelievedByThinGateways) {
+  Settings s = makeSettings();
+  s.groupSize = 100;
+  Driver d(s, 60);
+  std::size_t before = 0;
+  for (int i = 0; i < 1200; ++i) {
+    d.request(1);
+    d.advance(milliseconds(50));
+    for (std::size_t k = 0; k < d.out.size();) {
+      const Sent o = d.out[k];
+      const auto takes = milliseconds(i < 400 ? 40 : 300);
+      if (d.now - o.at >= takes) d.settle(o, Outcome::served, true, takes);
+      else ++k;
+    }
+    if (i == 600) before = d.count(ActionKind::refuse);
+  }
+  EXPECT_GT(d.count(ActionKind::refuse) - before, 390u) << "of 600";
+}
+
 // What a gateway with few requests holds swings by chance; the cubic must not make refusals of it, and still
 // refuse when the pool is slow.
 TEST(Bank, ThinGatewaysRefuseOnlyWhenThePoolIsSlow) {
