--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -1,7 +1,6 @@
 #include "lab/world.hpp"
 
 #include <algorithm>
-#include <boost/histogram.hpp>
 #include <cmath>
 #include <cstdio>
 #include <deque>
@@ -11,6 +10,9 @@
 #include <stdexcept>
 #include <unordered_map>
 
+#include "lab/draw.hpp"
+#include "lab/latencies.hpp"
+
 namespace hollyrun::lab {
 
 using namespace ochrehill;
@@ -114,23 +116,22 @@
       : s_(scenario),
         seed_(seed),
         maker_(maker),
-        day_(seed, "day"),
+        d_(scenario, seed),
+        fleet_(scenario, seed),
         network_(seed, "network"),
         notices_(seed, "notices"),
         trouble_(seed, "trouble"),
-        checker_({millis(s_.answerSlackMs), millis(s_.drainGraceMs), s_.secondCopies}),
-        latency_(boost::histogram::make_histogram(
-            boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(2000, 0.1,
-                                                                                            1e5))) {}
+        checker_({millis(s_.answerSlackMs), millis(s_.drainGraceMs), s_.secondCopies}) {}
 
   Result play() {
+    tick_ = millis(s_.tickMs);
     drawDay();
     drawServers();
     drawGateways();
     drawTroubles();
     drawArrivals();
     at(kStart, Happens::sample);
-    const Time last = kStart + secs(s_.lengthS) + secs(longest_ + 1);
+    const Time last = kStart + secs(s_.lengthS) + secs(d_.longest + 1);
     while (!events_.empty() && events_.top().at <= last) {
       const Event e = events_.top();
       events_.pop();
@@ -183,136 +184,34 @@
   // --- Drawing the day ----------------------------------------------------------------------------------
 
   void drawDay() {
-    tick_ = millis(s_.tickMs);
-    pace_ = s_.pace.draw(day_);
-    level_ = s_.level.draw(day_);
-    swing_ = s_.swing.draw(day_);
-    period_ = s_.periodS.draw(day_);
-    sameHop_ = s_.sameMs.draw(day_) / 1000;
-    crossHop_ = s_.crossMs.draw(day_) / 1000;
-    clientHop_ = s_.clientMs.draw(day_) / 1000;
-    jitter_ = s_.jitter.draw(day_);
-    retries_ = static_cast<unsigned>(std::lround(s_.retries.draw(day_)));
-    tryShare_ = s_.tryShare.draw(day_);
-    backoff_ = s_.backoffMs.draw(day_) / 1000;
-    honour_ = s_.honour.draw(day_);
-    handshakeRtts_ = s_.handshakeRtts.draw(day_);
-    handshakeWork_ = s_.handshakeUs.draw(day_) * 1e-6;
-    chokes_ = day_.chance(s_.chokeShare.draw(day_));
-    period_s_ = s_.periodMs.draw(day_) / 1000;
-    const double keys = std::round(s_.keys.draw(day_)), zipf = s_.keyZipf.draw(day_);
-    for (double k = 1; k <= keys; ++k)
-      keyWeights_.push_back((keyWeights_.empty() ? 0 : keyWeights_.back()) + std::pow(k, -zipf));
-    double classSum = 0, zoneSum = 0;
-    for (const RequestClass& c : s_.classes) {
-      Drawn d;
-      d.set = c.set;
-      d.set.aim =
-          ochrehill::Duration(static_cast<std::int64_t>(static_cast<double>(c.set.aim.count()) * pace_));
-      d.set.giveUp =
-          ochrehill::Duration(static_cast<std::int64_t>(static_cast<double>(c.set.giveUp.count()) * pace_));
-      d.share = c.share.draw(day_);
-      d.work = c.workMs.draw(day_) / 1000 * pace_;
-      d.cv = c.cv.draw(day_);
-      d.noise = c.attemptNoise.draw(day_);
-      longest_ = std::max(longest_, inSeconds(d.set.giveUp));
-      classSum += d.share;
-      classes_.push_back(d);
+    for (const DrawnClass& d : d_.classes) {
       ClassRecord record;
       record.name = d.set.name;
       result_.classes.push_back(record);
     }
-    for (Drawn& d : classes_) {
-      d.share /= classSum;
-      meanWork_ += d.share * d.work;
-    }
-    const double skew = s_.zoneSkew.draw(day_);
-    for (std::size_t z = 0; z < s_.zones.size(); ++z) {
-      zoneShare_.push_back(1 + skew * (2 * day_.unit() - 1) * 1.5);
-      zoneSum += zoneShare_.back();
-    }
-    for (double& z : zoneShare_) z /= zoneSum;
   }
 
   void drawServers() {
-    Stream fleet(seed_, "servers");
-    const auto count = static_cast<std::size_t>(std::lround(s_.servers.draw(fleet)));
-    cellSize_ = static_cast<std::size_t>(std::max(1L, std::lround(s_.cellSize.draw(fleet))));
-    std::vector<double> shares;
-    double sum = 0;
-    for (const MachineKind& k : s_.kinds) sum += shares.emplace_back(k.share.draw(fleet));
-    std::vector<std::size_t> kinds;  // largest remainders, then shuffled
-    std::vector<std::pair<double, std::size_t>> rest;
-    for (std::size_t k = 0; k < shares.size(); ++k) {
-      const double exact = shares[k] / sum * static_cast<double>(count);
-      for (double i = 1; i <= exact; ++i) kinds.push_back(k);
-      rest.emplace_back(std::floor(exact) - exact, k);
-    }
-    std::sort(rest.begin(), rest.end());
-    for (std::size_t i = 0; kinds.size() < count; ++i) kinds.push_back(rest[i % rest.size()].second);
-    for (std::size_t i = kinds.size(); i > 1; --i) std::swap(kinds[i - 1], kinds[fleet.below(i)]);
-    for (const MachineKind& k : s_.kinds) {
-      KindDrawn d;
-      d.speed = k.speed.draw(fleet);
-      d.cv = k.speedCv.draw(fleet);
-      d.expired = fleet.chance(k.dropsExpired.draw(fleet));
-      d.cancelled = fleet.chance(k.dropsCancelled.draw(fleet));
-      kindsDrawn_.push_back(d);
-    }
-    for (std::size_t i = 0; i < count; ++i)
-      addMachine(kinds[i], static_cast<std::uint32_t>(i % s_.zones.size()), i / cellSize_);
+    for (std::size_t i = 0; i < fleet_.kindOf.size(); ++i)
+      addMachine(fleet_.kindOf[i], static_cast<std::uint32_t>(i % s_.zones.size()), i / fleet_.cellSize);
     for (const Machine& m : machines_) capacity_ += m.server.figures().cores * m.server.figures().speed;
   }
 
   std::uint32_t addMachine(std::size_t kind, std::uint32_t zone, std::size_t cell) {
     const auto number = static_cast<std::uint32_t>(machines_.size());
-    Stream draw(seed_, "machine", number);
-    const MachineKind& k = s_.kinds[kind];
-    ServerFigures f;
-    f.cores = std::round(k.cores.draw(draw));
-    f.speed = kindsDrawn_[kind].speed * draw.lognormal(1, kindsDrawn_[kind].cv);
-    f.slots = static_cast<std::size_t>(std::max(1.0, std::round(f.cores * k.slots.draw(draw))));
-    f.room = static_cast<std::size_t>(std::round(f.cores * k.queue.draw(draw)));
-    f.thrash = k.thrash.draw(draw);
-    f.thrashAt = k.thrashAt.draw(draw);
-    f.coldFrom = k.coldFrom.draw(draw);
-    f.coldS = k.coldS.draw(draw);
-    f.errorRate = k.errorRate.draw(draw);
-    f.dropsExpired = kindsDrawn_[kind].expired;
-    f.dropsCancelled = kindsDrawn_[kind].cancelled;
-    f.connectionCap = f.cores * s_.capPerCore.draw(draw);
-    f.fullTax = s_.fullTax.draw(draw);
-    f.chokes = chokes_;
-    f.chokeAt = s_.chokeAt.draw(draw);
-    f.chokeOverS = s_.chokeOverS.draw(draw);
-    f.chokeSlower = s_.chokeSlower.draw(draw);
-    f.chokeRestS = s_.chokeRestS.draw(draw);
-    f.chokeBelow = s_.chokeBelow.draw(draw);
-    f.chokeMostS = s_.chokeMostS.draw(draw);
-    f.warmGain = s_.warmGain.draw(draw);
-    f.warmKeepS = s_.warmKeepS.draw(draw);
-    f.warmKeys = static_cast<std::size_t>(std::max(1.0, f.cores * s_.warmKeysPerCore.draw(draw)));
-    Machine m{HostEntry{}, Server(f)};
-    // Addresses in no order of number: they tell nothing of zone, kind or age.
-    char address[48];
-    const auto bits = draw.engine()();
-    std::snprintf(address, sizeof address, "10.%u.%u.%u:%u", static_cast<unsigned>(bits & 255),
-                  static_cast<unsigned>(bits >> 8 & 255), static_cast<unsigned>(bits >> 16 & 255),
-                  10000 + number);
-    m.entry.address = address;
-    m.entry.zone = s_.zones[zone];
-    m.entry.kind = k.name;
-    m.entry.cell = static_cast<std::int64_t>(cell);
+    DrawnMachine drawn = drawMachine(s_, seed_, fleet_, d_.chokes, number, kind, zone, cell);
+    const ServerFigures& f = drawn.figures;
+    Machine m{drawn.entry, Server(f)};
     m.zone = zone;
-    byAddress_[address] = number;
+    byAddress_[m.entry.address] = number;
     kindOf_.push_back(kind);
     machines_.push_back(std::move(m));
     machines_.back().server.advance(now_);
     at(std::max(now_, kStart) + Duration(kServerTick.count() * (number % 16) / 16), Happens::tick, number);
     ServerRecord record;
-    record.address = address;
+    record.address = machines_.back().entry.address;
     record.zone = s_.zones[zone];
-    record.kind = k.name;
+    record.kind = machines_.back().entry.kind;
     record.cores = f.cores;
     record.speed = f.speed;
     // Its record begins with the day, so that all lie on one clock.
@@ -328,20 +227,8 @@
     Stream fleet(seed_, "gateways");
     const auto count = static_cast<std::uint32_t>(std::lround(s_.gateways.draw(fleet)));
     const double spread = s_.startSpreadMs.draw(fleet);
+    settings_ = moduleSettings(s_, d_);
     settings_.groupSize = count;
-    for (const Drawn& d : classes_) settings_.classes.push_back(d.set);
-    settings_.parallelTries = s_.secondCopies;
-    settings_.warmKeys = s_.warmKeys;
-    settings_.retryAfter = s_.retryAfter;
-    settings_.cancel = s_.cancel;
-    settings_.maxAttempts = s_.maxAttempts;
-    settings_.idleClose = secs(s_.idleS);
-    settings_.maxRetryAfter = millis(s_.maxRetryAfterMs);
-    settings_.step = tick_;
-    settings_.coldTime = secs(s_.coldRuleS);
-    settings_.coldShare = s_.coldShare;
-    settings_.fallMultiple = s_.fallMultiple;
-    settings_.fallWindow = millis(s_.fallMs);
     gateways_.resize(count);
     for (std::uint32_t g = 0; g < count; ++g) {
       gateways_[g].name = "gateway-" + std::to_string(g);
@@ -352,40 +239,15 @@
   }
 
   void drawArrivals() {
-    const double base = level_ * capacity_ / meanWork_;
-    Stream when(seed_, "arrivals"), which(seed_, "calls");
-    const double phase = when.unit();
-    std::vector<double> bursts;  // of segments of a tenth of the period
-    for (double t = 0; t < s_.lengthS + period_; t += period_ / 10)
-      bursts.push_back(when.chance(0.5) ? 1 : -1);
-    const auto factor = [&](double t) {
-      double f = 1;
-      if (s_.shape == "wave") f += swing_ * std::sin(2 * M_PI * (t / period_ + phase));
-      else if (s_.shape == "bursty") f += swing_ * bursts[static_cast<std::size_t>(t / period_ * 10)];
-      for (const Surge& surge : surges_)
-        if (t >= surge.from && t < surge.to) f *= surge.size;
-      return f;
-    };
-    double most = 1 + swing_;
-    for (const Surge& surge : surges_) most *= std::max(surge.size, 1.0);
-    for (double t = 0;;) {
-      t += when.exponential(1 / std::max(base * most, 1e-9));
-      if (t >= s_.lengthS) break;
-      if (!when.chance(factor(t) / most)) continue;
+    for (const Arrival& a : arrivalsOf(s_, seed_, d_, d_.level * capacity_ / d_.meanWork, surges_)) {
       Call c;
-      c.first = kStart + secs(t);
-      double pick = which.unit();
-      while (c.cls + 1 < classes_.size() && pick >= classes_[c.cls].share) pick -= classes_[c.cls++].share;
-      const Drawn& d = classes_[c.cls];
-      pick = which.unit();
-      while (c.zone + 1 < zoneShare_.size() && pick >= zoneShare_[c.zone]) pick -= zoneShare_[c.zone++];
-      c.work = d.cv > 0 ? which.lognormal(d.work, d.cv) : d.work;
-      c.worth = d.set.worth * c.work;
-      if (!keyWeights_.empty())
-        c.key = 1 + static_cast<std::uint64_t>(std::upper_bound(keyWeights_.begin(), keyWeights_.end(),
-                                                                which.unit() * keyWeights_.back()) -
-                                               keyWeights_.begin());
-      c.left = static_cast<std::uint8_t>(retries_);
+      c.first = kStart + secs(a.at);
+      c.cls = a.cls;
+      c.zone = a.zone;
+      c.work = a.work;
+      c.key = a.key;
+      c.worth = d_.classes[c.cls].set.worth * c.work;
+      c.left = static_cast<std::uint8_t>(d_.retries);
       clientCalls_.push_back(c);
       at(c.first, Happens::clientTry, static_cast<std::uint32_t>(clientCalls_.size() - 1));
     }
@@ -401,9 +263,9 @@
 
   void clientTry(std::uint32_t id) {
     Call& c = clientCalls_[id];
-    const Drawn& d = classes_[c.cls];
-    Duration left =
-        ochrehill::Duration(static_cast<std::int64_t>(static_cast<double>(d.set.giveUp.count()) * tryShare_));
+    const DrawnClass& d = d_.classes[c.cls];
+    Duration left = ochrehill::Duration(
+        static_cast<std::int64_t>(static_cast<double>(d.set.giveUp.count()) * d_.tryShare));
     left = std::min(left, d.set.giveUp - (now_ - c.first));
     if (left <= Duration(0)) return leave(c, false);
     Stream front(seed_, "front", static_cast<std::uint64_t>(id) * 32 + c.tries);
@@ -425,7 +287,7 @@
     t.gateway = chosen;
     if (chosen == kNobody || !gateways_[chosen].up) return retry(id, false, true, {});
     t.life = gateways_[chosen].life;
-    const Time arrives = door(now_ + secs(clientHop_));
+    const Time arrives = door(now_ + secs(d_.clientHop));
     t.deadline = arrives + left;
     tries_.push_back(t);
     at(arrives, Happens::arrive, static_cast<std::uint32_t>(tries_.size() - 1));
@@ -443,8 +305,8 @@
     const bool may = set.effect == Effect::retryable || refused || unreachable ||
                      (set.effect == Effect::dedup && set.group == Group::all);
     Stream habit(seed_, "habit", static_cast<std::uint64_t>(id) * 32 + c.tries);
-    double wait = backoff_ + clientHop_ * 2;
-    if (after > Duration(0) && habit.chance(honour_)) wait = std::max(wait, inSeconds(after));
+    double wait = d_.backoff + d_.clientHop * 2;
+    if (after > Duration(0) && habit.chance(d_.honour)) wait = std::max(wait, inSeconds(after));
     if (unreachable) wait = std::max(wait, 0.02);
     if (!may || c.left == 0 || now_ + secs(wait) - c.first >= set.giveUp) return leave(c, refused);
     --c.left;
@@ -544,10 +406,10 @@
       return retry(t.call, refused, false, after);
     }
     if (c.end != CallEnd::open) return;
-    const Duration taken = now_ - c.first - secs(clientHop_);
-    c.end = taken <= classes_[c.cls].set.aim ? CallEnd::inTime : CallEnd::late;
+    const Duration taken = now_ - c.first - secs(d_.clientHop);
+    c.end = taken <= d_.classes[c.cls].set.aim ? CallEnd::inTime : CallEnd::late;
     c.endAt = now_;
-    if (c.first >= kStart + secs(s_.warmS)) latency_(std::clamp(inSeconds(taken) * 1000, 0.11, 9e4));
+    if (c.first >= kStart + secs(s_.warmS)) latency_.add(inSeconds(taken) * 1000);
   }
 
   void carryOut(std::uint32_t g) {
@@ -616,8 +478,8 @@
     return m.reachable && !(gateways_[g].zone != m.zone && (cut(gateways_[g].zone) || cut(m.zone)));
   }
   Duration hop(std::uint32_t g, const Machine& m) {
-    const double base = gateways_[g].zone == m.zone ? sameHop_ : crossHop_;
-    return secs(base * (1 + network_.exponential(jitter_)));
+    const double base = gateways_[g].zone == m.zone ? d_.sameHop : d_.crossHop;
+    return secs(base * (1 + network_.exponential(d_.jitter)));
   }
 
   void send(std::uint32_t g, const Action& action) {
@@ -676,7 +538,7 @@
     ++result_.connections;
     made.connected = true;
     m.server.connections += 1;
-    at(now_ + secs(inSeconds(trip) * handshakeRtts_) + hop(g, m), Happens::atServer, number);
+    at(now_ + secs(inSeconds(trip) * d_.handshakeRtts) + hop(g, m), Happens::atServer, number);
   }
 
   void respond(std::uint32_t id, Outcome outcome) {
@@ -696,14 +558,14 @@
     if (a.epoch != m.epoch || !m.up) return respond(id, Outcome::reset);
     if (!a.out) return;  // given up and its connection closed before it came
     const Call& c = clientCalls_[t.call];
-    const Drawn& d = classes_[c.cls];
+    const DrawnClass& d = d_.classes[c.cls];
     Stream draw(seed_, "attempt", (static_cast<std::uint64_t>(t.call) * 32 + c.tries) * 8 + a.number);
     Job job;
     job.attempt = id;
     job.key = c.key;
     job.hasKey = c.key != 0 && s_.warmKeys;
     job.deadline = t.deadline;
-    job.work = c.work * (d.noise > 0 ? draw.lognormal(1, d.noise) : 1) + (a.fresh ? handshakeWork_ : 0);
+    job.work = c.work * (d.noise > 0 ? draw.lognormal(1, d.noise) : 1) + (a.fresh ? d_.handshakeWork : 0);
     const Gateway& w = gateways_[t.gateway];
     double informed = 0;
     const bool knew = a.server < w.toldStart.size() && w.toldStart[a.server] == m.entry.upSince;
@@ -855,8 +717,8 @@
   }
   void publishLater(Duration in, std::uint32_t server, Phase phase, Time upSince) {
     Time when = now_ + in + secs(lateLists_);
-    if (period_s_ > 0) {  // discovery looks every so often
-      const auto period = secs(period_s_).count();
+    if (d_.lookPeriod > 0) {  // discovery looks every so often
+      const auto period = secs(d_.lookPeriod).count();
       when = Time((when.count() + period - 1) / period * period);
     }
     at(when, [this, server, phase, upSince] { publish(server, phase, upSince); });
@@ -1121,16 +983,6 @@
     if (now_ + kSample <= kStart + secs(s_.lengthS)) at(now_ + kSample, Happens::sample);
   }
 
-  double percentile(double part) const {
-    double all = 0, sum = 0;
-    for (const auto& bin : boost::histogram::indexed(latency_)) all += *bin;
-    for (const auto& bin : boost::histogram::indexed(latency_)) {
-      sum += *bin;
-      if (all > 0 && sum >= part * all) return bin.bin().upper();
-    }
-    return 0;
-  }
-
   void settle() {
     Result& r = result_;
     r.scenario = s_.name;
@@ -1139,7 +991,7 @@
     std::uint64_t refused = 0, failed = 0;
     std::vector<std::vector<double>> times(r.seconds.size());
     for (const Call& c : clientCalls_) {
-      const ClassSettings& set = classes_[c.cls].set;
+      const ClassSettings& set = d_.classes[c.cls].set;
       const double worth = c.end == CallEnd::inTime ? c.worth
                            : c.end == CallEnd::late ? set.lateShare * c.worth
                                                     : 0;
@@ -1204,31 +1056,21 @@
     }
     r.chokedShare = static_cast<double>(choked) / static_cast<double>(machines_.size());
     r.priceChoke = s_.priceChoke * r.chokedShare;
-    r.p50 = percentile(0.5);
-    r.p90 = percentile(0.9);
-    r.p99 = percentile(0.99);
+    r.p50 = latency_.percentile(0.5);
+    r.p90 = latency_.percentile(0.9);
+    r.p99 = latency_.percentile(0.99);
     r.breaches = checker_.breaches();
     for (Breach& b : r.breaches) b.at -= kStart;
     r.g = s_.goalWhole * r.whole + s_.goalWorstWindow * r.worstWindow + s_.goalWorstClass * r.worstClass -
           r.priceCrossZone - r.priceWaste - r.priceHandshake - r.priceChoke - r.priceLateFail;
   }
 
-  struct Drawn {
-    ClassSettings set;
-    double share = 1, work = 0, cv = 0, noise = 0;
-  };
-  struct KindDrawn {
-    double speed = 1, cv = 0;
-    bool expired = false, cancelled = false;
-  };
-  struct Surge {
-    double from, to, size;
-  };
-
   const Scenario& s_;
   std::uint64_t seed_;
   const PolicyMaker& maker_;
-  Stream day_, network_, notices_, trouble_;
+  DrawnDay d_;
+  DrawnFleet fleet_;
+  Stream network_, notices_, trouble_;
   Checker checker_;
   Result result_;
   Time now_{};
@@ -1237,16 +1079,8 @@
   std::vector<std::function<void()>> calls_;
 
   Duration tick_{};
-  double pace_ = 1, level_ = 0, swing_ = 0, period_ = 20, sameHop_ = 0, crossHop_ = 0, clientHop_ = 0,
-         jitter_ = 0;
-  double tryShare_ = 0.5, backoff_ = 0, honour_ = 0, handshakeRtts_ = 1, handshakeWork_ = 0, period_s_ = 0;
-  double meanWork_ = 0, capacity_ = 0, longest_ = 0, lateLists_ = 0;
-  unsigned retries_ = 0;
-  bool chokes_ = false;
-  std::size_t cellSize_ = 6, samples_ = 0;
-  std::vector<double> keyWeights_, zoneShare_;
-  std::vector<Drawn> classes_;
-  std::vector<KindDrawn> kindsDrawn_;
+  double capacity_ = 0, lateLists_ = 0;
+  std::size_t samples_ = 0;
   std::vector<Surge> surges_;
   Settings settings_;
   std::deque<Machine> machines_;  // grows while references are held
@@ -1262,9 +1096,7 @@
   std::uint32_t cutZone_ = kNobody;
   double waste_ = 0;
   std::uint64_t crossed_ = 0;
-  decltype(boost::histogram::make_histogram(
-      boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(2000, 0.1,
-                                                                                      1e5))) latency_;
+  Latencies latency_;
 };
 
 }  // namespace
