hollyrun-lab serve, load and fleet: real processes, an emulated platform, faults between

serve: the lab's model of a server behind real HTTP/1.1 sockets, discovery with list and watch, an agent a gateway. load: open-loop clients by the protocol (deadlines, Retry-After, keys, one resend after a crossing close); times count from the drawn arrival. fleet: 2 to 24 processes of the program with SIGKILL, SIGTERM, SIGSTOP, upgrade and SIGHUP with a same, changed or broken file; servers slowed, jammed, lost, cut, drained; discovery silent, late or split.

Tests: a rogue gateway that loses, runs a certificate twice, or sends after a drain is caught, and the same one without the fault passes; a process that dies as it starts is named; an interrupted rig leaves no process; one held up owes nothing. Faults of the rig found on the way: children inherited its sockets and kept a dead server's port listening; a cut server got what had waited in its accept queue.

--- a/src/lab/checker.hpp
+++ b/src/lab/checker.hpp
@@ -11,7 +11,7 @@
 
 namespace hollyrun::lab {
 
-enum class Rule { lost, duplicate, drain, fall };
+enum class Rule { lost, duplicate, drain, fall, crash, check };
 const char* nameOf(Rule rule);
 
 struct Breach {
@@ -25,6 +25,7 @@
 struct RuleFigures {
   Duration answerSlack{}, drainGrace{};
   bool parallelTries = false;
+  Duration wireSlack{};  // on sockets: what was on its way as a request ended arrives so much later
 };
 
 class Checker {
@@ -39,14 +40,21 @@
   /// The gateway's own final answer: refused or failed.
   void answered(Time now, std::uint64_t request, bool refused);
   /// An outcome that ended the request has reached the gateway.
-  void served(std::uint64_t request);
+  void served(std::uint64_t request, Time now = {});
   /// The gateway is gone and owes nothing more.
   void released(std::uint64_t request) { open_.erase(request); }
+  /// The rig ended the process that had taken it, or holds it up: nothing is owed any more, and what that
+  /// process sends for it later, not knowing, is held against nobody.
+  void excused(std::uint64_t request);
   /// To be called once the answer's time is over.
   void due(Time now, std::uint64_t request);
   void told(Time now, std::uint32_t gateway, std::uint32_t server, ochrehill::Phase phase);
   /// A gateway starts afresh, with what it is told from here on.
   void restarted(std::uint32_t gateway);
+  /// Anything else that must not be: an end that nobody asked for, or a check of a scenario.
+  void breach(Rule rule, Time now, std::uint64_t request, const std::string& server, const std::string& what);
+  /// How many attempts for it have come to servers.
+  std::size_t attempts(std::uint64_t request) const;
   /// A cold server fell over; the share of its work that came from gateways that knew of its start.
   void fell(Time now, const std::string& server, double informed);
 
@@ -63,10 +71,10 @@
   struct Taken {
     ochrehill::ClassSettings set;
     Time deadline;
-    bool ended = false;
+    bool ended = false, excused = false;
     std::vector<Attempt> attempts;
+    Time endedAt{};
   };
-  void breach(Rule rule, Time now, std::uint64_t request, const std::string& server, const std::string& what);
   static std::uint64_t pair(std::uint32_t gateway, std::uint32_t server) {
     return static_cast<std::uint64_t>(gateway) << 32 | server;
   }
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -94,6 +94,19 @@
     out.clear();
     for (const toml::node& item : *list) out.push_back(*item.value<std::string>());
   }
+  void numbers(const char* key, std::vector<std::size_t>& out) {
+    const toml::node* node = take(key);
+    if (!node) return;
+    const toml::array* list = node->as_array();
+    if (!list || !list->is_homogeneous(toml::node_type::integer))
+      return fault(node, key, "has to be a list of whole numbers");
+    out.clear();
+    for (const toml::node& item : *list) {
+      const auto value = *item.value<std::int64_t>();
+      if (value < 0) return fault(node, key, "has to be a list of whole numbers from 0");
+      out.push_back(static_cast<std::size_t>(value));
+    }
+  }
   const toml::table* table(const char* key) {
     const toml::node* node = take(key);
     if (node && !node->is_table()) fault(node, key, "has to be a table");
@@ -219,6 +232,26 @@
   s.troubles.push_back(t);
 }
 
+void readFault(const toml::table* table, std::size_t at, Scenario& s, Faults& faults) {
+  Section in(table, "fault[" + std::to_string(at) + "].", faults);
+  Fault f;
+  in.text("kind", f.kind,
+          {"kill", "term", "stop", "upgrade", "hup", "slow", "jam", "lost", "cut", "drain",
+           "discovery_silent", "discovery_late", "discovery_split"});
+  if (!table->contains("kind")) in.fault(table, "kind", "is missing");
+  in.number("at_s", f.atS, 0, 3600);
+  in.number("length_s", f.lengthS, 0, 3600);
+  in.number("size", f.size);
+  in.numbers("gateways", f.gateways);
+  in.numbers("servers", f.servers);
+  in.text("zone", f.zone);
+  in.text("file", f.file, {"same", "changed", "broken"});
+  if (f.kind == "hup" && f.file.empty()) in.fault(table, "file", "is missing: same, changed or broken");
+  f.place = placeOf(table);
+  in.done();
+  s.faults.push_back(f);
+}
+
 void apply(const toml::table& root, Scenario& s, Faults& faults) {
   Section top(&root, "", faults);
   std::string base;
@@ -331,6 +364,8 @@
   list("kind", s.kinds, readKind);
   list("class", s.classes, readClass);
   list("trouble", s.troubles, readTrouble);
+  list("fault", s.faults, readFault);
+  section("expect", [&](Section& in) { in.number("goodput", s.expectGoodput, 0, 1); });
   top.done();
 }
 
@@ -366,6 +401,19 @@
                                    [&](const RequestClass& c) { return c.set.name == t.className; });
     if (!t.className.empty() && !known) fault("class", "'" + t.className + "' is no [[class]]");
   }
+  for (std::size_t i = 0; i < s.faults.size(); ++i) {
+    const Fault& f = s.faults[i];
+    const auto fault = [&](const std::string& key, const std::string& what) {
+      faults.lines.push_back(f.place + ": fault[" + std::to_string(i) + "]." + key + ": " + what);
+    };
+    if (!f.zone.empty() && std::find(s.zones.begin(), s.zones.end(), f.zone) == s.zones.end())
+      fault("zone", "'" + f.zone + "' is none of fleet.zones");
+    for (std::size_t g : f.gateways)
+      if (static_cast<double>(g) >= s.gateways.low) fault("gateways", std::to_string(g) + " is none of them");
+    for (std::size_t server : f.servers)
+      if (static_cast<double>(server) >= s.servers.low)
+        fault("servers", std::to_string(server) + " is none of them");
+  }
 }
 
 }  // namespace
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -53,6 +53,16 @@
   std::string place;                    // file and line
 };
 
+/// What the rig does to real processes, to the platform's servers or to discovery at a time of its day.
+struct Fault {
+  std::string kind;
+  double atS = 0, lengthS = 0, size = 1;
+  std::vector<std::size_t> gateways,
+      servers;             // by number; none of both and no zone: all that the kind is for
+  std::string zone, file;  // file: same, changed or broken
+  std::string place;       // file and line
+};
+
 struct Scenario {
   std::string name, description, file;
 
@@ -90,6 +100,9 @@
   std::vector<MachineKind> kinds;
   std::vector<RequestClass> classes;
   std::vector<Trouble> troubles;
+
+  std::vector<Fault> faults;  // of `fleet` alone
+  double expectGoodput = 0;   // of `fleet`: less is a failed check
 };
 
 /// What is wrong with a scenario; a line for each fault, `file:line: key: what`.
--- a/src/lab/server.hpp
+++ b/src/lab/server.hpp
@@ -77,6 +77,7 @@
   std::vector<std::uint32_t> drop();
   void slow(Time now, double factor);  ///< 1 is its usual speed
   void pause(Time now, bool on);
+  void jam(Time now);  ///< as if it had been crowded for long
 
   /// Notes work that reached a cold machine, and tells whether more than `multiple` times what it can do came
   /// within `window`, the largest request and three of mean work left out for chance. `share` is the part of
@@ -101,6 +102,7 @@
   };
   void start(Time now);
   void observe(Time now);
+  void choke(Time now);
   void noteBusy(double passed);  // seconds since the last note
   double rate() const;           // of each request in work
   double workOf(const Job& job, Time now);
