--- a/src/main.cpp
+++ b/src/main.cpp
@@ -23,40 +23,42 @@
 
 constexpr int kFailed = 1, kWrong = 2;
 
-void warn(const Config& config) {
-  for (const std::string& warning : config.warnings) std::cerr << "warning: " << warning << '\n';
+void warn(const Config& config, Log& log) {
+  for (const std::string& warning : config.warnings) log.write(LogLevel::warning, "configuration", warning);
 }
 
 // Danger: a file that is no good must not end a gateway that serves; it goes on with what it has.
-void reload(Gateway& gateway, Config& running, const Environment& environment) {
+void reload(Gateway& gateway, Config& running, const Environment& environment, Log& log) {
   try {
     Config config = readConfig(environment, &running);
     gateway.reload(config);
     running = std::move(config);
-    warn(running);
-    std::cerr << "configuration reloaded\n";
+    log.set(running.log);
+    warn(running, log);
+    log.write(LogLevel::info, "configuration", "configuration reloaded");
   } catch (const BadConfig& bad) {
     gateway.reloadFailed();
-    std::cerr << "configuration not reloaded: " << bad.what() << '\n';
+    log.write(LogLevel::error, "configuration", std::string("configuration not reloaded: ") + bad.what());
   }
 }
 
 void reloadAtEach(boost::asio::signal_set& hangups, Gateway& gateway, Config& running,
-                  const Environment& environment) {
+                  const Environment& environment, Log& log) {
   hangups.async_wait([&](boost::system::error_code ec, int) {
     if (ec) return;
-    reload(gateway, running, environment);
-    reloadAtEach(hangups, gateway, running, environment);
+    reload(gateway, running, environment, log);
+    reloadAtEach(hangups, gateway, running, environment, log);
   });
 }
 
 int serve(const Environment& environment) {
   Config config = readConfig(environment);
-  warn(config);
+  Log log(config.name, config.log);
+  warn(config, log);
   boost::asio::io_context io(1);
   boost::asio::signal_set hangups(io, SIGHUP), stops(io, SIGTERM, SIGINT);
-  Gateway gateway(io, config, {}, [](const std::string& line) { std::cerr << line << '\n'; });
-  reloadAtEach(hangups, gateway, config, environment);
+  Gateway gateway(io, config, {}, log);
+  reloadAtEach(hangups, gateway, config, environment, log);
   stops.async_wait([&](boost::system::error_code ec, int) {
     if (!ec) gateway.drain([&] { io.stop(); });
   });
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -146,6 +146,23 @@
   config.memoryBytes = static_cast<std::size_t>(megabytes * (1 << 20));
 }
 
+LogSettings readLog(const json& log) {
+  LogSettings s;
+  std::string level = "info", format = "text";
+  read(log, "level", level);
+  read(log, "format", format);
+  read(log, "access", s.access);
+  read(log, "mostPerSecond", s.mostPerSecond);
+  if (level == "debug") s.level = LogLevel::debug;
+  else if (level == "warning") s.level = LogLevel::warning;
+  else if (level == "error") s.level = LogLevel::error;
+  else if (level == "off") s.level = LogLevel::off;
+  else if (level != "info") throw BadConfig("log: unknown level '" + level + "'");
+  if (format != "text" && format != "json") throw BadConfig("log: unknown format '" + format + "'");
+  s.json = format == "json";
+  return s;
+}
+
 // The variable goes before the file's entry.
 std::string told(const json& config, const char* name, const char* variable, const Environment& environment) {
   std::string text;
@@ -175,7 +192,7 @@
 // What a file may leave out though the running one had it: WIRE says so, or it counts at a start only.
 bool optional(const std::string& key) {
   for (const char* name : {"aimStretch", "staysIn", "boundTo", "passesDeadline", "warmKeys", "known", "seed",
-                           "name", "management"})
+                           "name", "management", "log"})
     if (key == name) return true;
   return false;
 }
@@ -219,6 +236,7 @@
   config.management = endpointIfTold(json, "management", "GW_MANAGEMENT", environment);
   if (const char* tmp = environment("TMPDIR"); tmp && *tmp) config.tmp = tmp;
   config.module = readSettings(part(json, "settings"));
+  config.log = readLog(part(json, "log"));
   std::string seed;
   read(json, "seed", seed);
   if (!seed.empty()) config.module.seed = readSeed(seed);
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "net/host_list.hpp"
+#include "net/log.hpp"
 #include "ochrehill/ochrehill.hpp"
 
 namespace cairnjunction {
@@ -34,7 +35,8 @@
   std::size_t sockets = 1024;               // file descriptors that the process may hold
   ochrehill::Duration connectTimeout{};     // for a new connection to a host
   ochrehill::Settings module;               // for the decisions
-  std::optional<HostList> known;            // hosts as last had; may be old
+  LogSettings log;
+  std::optional<HostList> known;  // hosts as last had; may be old
   std::shared_ptr<const nlohmann::json> source;
   std::vector<std::string> warnings;  // of the file: keys that nobody knows
 };
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -124,12 +124,11 @@
 
 }  // namespace
 
-Gateway::Gateway(asio::io_context& io, const Config& config, Waits waits,
-                 std::function<void(std::string)> log)
+Gateway::Gateway(asio::io_context& io, const Config& config, Waits waits, Log& log)
     : io_(io),
       start_(Clock::now()),
       unixStart_(std::chrono::system_clock::now()),
-      log_(std::move(log)),
+      log_(log),
       listen_(config.listen),
       sockets_(config.sockets),
       clientsMost_(waits.clients.connections),
@@ -179,7 +178,7 @@
     if (listen_.port() != 0) try {  // a port that the kernel picks is shared with nobody
         twin_.emplace(io, config.tmp, listen_, [this] { share(); });
       } catch (const std::runtime_error& bad) {  // it serves alone
-        log_(bad.what());
+        log_.write(LogLevel::warning, "upgrade", bad.what());
       }
   }
   if (twin_ && twin_->present()) {
@@ -244,8 +243,9 @@
   clients_.allow(std::min(clientsMost_, shareOf(sockets_, 3, parts)));
   hosts_.allow(shareOf(sockets_, 2, parts));
   budget_->limit(twin_->present() ? bodyBytes_ / 2 : bodyBytes_);
-  log_(twin_->present() ? "another process serves the address: the limits are shared"
-                        : "no other process serves the address");
+  log_.write(LogLevel::info, "upgrade",
+             twin_->present() ? "another process serves the address: the limits are shared"
+                              : "no other process serves the address");
 }
 
 // --- Events ---------------------------------------------------------------------------------------------
@@ -442,7 +442,7 @@
     case ActionKind::close: return hosts_.closeIdle(action.host);
     case ActionKind::wake: return wakeAt(action.span);
     case ActionKind::subscribe: return discovery_.watch();
-    case ActionKind::log: return log_(action.text);
+    case ActionKind::log: return log_.write(LogLevel::info, "decisions", action.text);
   }
 }
 
@@ -488,10 +488,15 @@
 }
 
 ClientServer::Answered Gateway::counting(const Exchange& exchange, Statistics::End end) {
-  return [this, cls = exchange.counted, end, taken = exchange.taken, came = exchange.came](bool whole) {
+  const std::string id = log_.access() ? exchange.message["X-Request-Id"].to_string() : std::string();
+  return [this, cls = exchange.counted, end, taken = exchange.taken, came = exchange.came, id](bool whole) {
     std::optional<Clock::duration> took;
     if (taken) took = Clock::now() - came, statistics_.ended();
-    statistics_.answered(cls, whole ? end : Statistics::End::failure, took);
+    const Statistics::End ended = whole ? end : Statistics::End::failure;
+    statistics_.answered(cls, ended, took);
+    if (!log_.access()) return;
+    const double ms = took ? std::chrono::duration<double, std::milli>(*took).count() : -1;
+    log_.answered(id, statistics_.nameOf(cls), Statistics::nameOf(ended), ms);
   };
 }
 
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -16,6 +16,7 @@
 #include "net/config.hpp"
 #include "net/discovery.hpp"
 #include "net/host_pool.hpp"
+#include "net/log.hpp"
 #include "net/management.hpp"
 #include "net/statistics.hpp"
 #include "net/twin.hpp"
@@ -36,9 +37,8 @@
   };
 
   // Asks discovery at once, and listens at once too unless another process serves the address: then as soon
-  // as it can take over. Throws boost::system::system_error if it can't listen.
-  Gateway(boost::asio::io_context& io, const Config& config, Waits waits,
-          std::function<void(std::string)> log);
+  // as it can take over. Throws boost::system::system_error if it can't listen. The log has to outlive it.
+  Gateway(boost::asio::io_context& io, const Config& config, Waits waits, Log& log);
   ~Gateway();
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
@@ -98,7 +98,7 @@
   ochrehill::Settings settings_;
   std::unordered_map<std::string, std::uint32_t> classOf_, tenantOf_;
   std::unordered_map<std::string, boost::asio::ip::tcp::endpoint> endpoints_;
-  std::function<void(std::string)> log_;
+  Log& log_;
   boost::asio::ip::tcp::endpoint listen_;
   std::size_t sockets_, clientsMost_;
   std::size_t bodyBytes_;
--- a/src/net/statistics.cpp
+++ b/src/net/statistics.cpp
@@ -36,6 +36,13 @@
   return it == byName_.end() ? kNoClass : it->second;
 }
 
+const std::string& Statistics::nameOf(std::size_t cls) const {
+  static const std::string none = "-";
+  return cls < classes_.size() ? classes_[cls].name : none;
+}
+
+const char* Statistics::nameOf(End end) { return kEnds[static_cast<std::size_t>(end)]; }
+
 void Statistics::answered(std::size_t cls, End end, std::optional<std::chrono::nanoseconds> took) {
   if (cls == kNoClass) return;
   Class& c = classes_[cls];
--- a/src/net/statistics.hpp
+++ b/src/net/statistics.hpp
@@ -30,6 +30,9 @@
   void show(std::string_view name);
   std::size_t classOf(std::string_view name) const;  // kNoClass if never shown
 
+  const std::string& nameOf(std::size_t cls) const;  // "-" for kNoClass
+  static const char* nameOf(End end);
+
   void taken() { ++inflight_; }
   void ended() { --inflight_; }  // one that was taken
   /// `took`: from the request's last byte to its answer's last; none for what was turned away for its form.
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -16,6 +16,7 @@
   std::vector<std::unique_ptr<Peer>> hosts;
   json config = configJson();
   Gateway::Waits waits;
+  Log log{"n0", {.level = LogLevel::off}};
   std::unique_ptr<Gateway> gateway;
   int serial = 0;
   std::vector<std::string> reached;  // uid of the host of each attempt, in order
@@ -35,8 +36,8 @@
   void start() {
     config["discovery"] = textOf(discovery.peer.endpoint);
     if (!config.contains("known")) config["known"] = {{"rev", 1}, {"all", true}, {"targets", discovery.list}};
-    gateway = std::make_unique<Gateway>(io, parseConfig(config, [](const char*) { return nullptr; }), waits,
-                                        [](const std::string&) {});
+    gateway =
+        std::make_unique<Gateway>(io, parseConfig(config, [](const char*) { return nullptr; }), waits, log);
   }
   template <class Predicate>
   ::testing::AssertionResult until(Predicate predicate) {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -434,8 +434,8 @@
   config["known"] = nullptr;
   config["discovery"] = textOf(discovery.peer.endpoint);
   config.erase("known");
-  gateway = std::make_unique<Gateway>(io, parseConfig(config, [&](const char*) { return nullptr; }), waits,
-                                      [](const std::string&) {});
+  gateway =
+      std::make_unique<Gateway>(io, parseConfig(config, [&](const char*) { return nullptr; }), waits, log);
   ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
   EXPECT_EQ(discovery.targets[0], "/discovery/hosts");
   EXPECT_EQ(ask(text("read")).result_int(), 200u);
--- /dev/null
+++ b/tests/log_test.cpp
@@ -0,0 +1,107 @@
+// The log: lines as text and as JSON, limits, and a pipe that nobody reads.
+#include "net/log.hpp"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <vector>
+
+namespace cairnjunction {
+namespace {
+
+class LogTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    std::signal(SIGPIPE, SIG_IGN);  // as the program does
+    ASSERT_EQ(::pipe2(ends, O_NONBLOCK), 0);
+  }
+  void TearDown() override { ::close(ends[0]), ::close(ends[1]); }
+  std::vector<std::string> lines() {
+    std::string all, one;
+    char part[4096];
+    for (ssize_t n; (n = ::read(ends[0], part, sizeof part)) > 0;)
+      all.append(part, static_cast<std::size_t>(n));
+    std::vector<std::string> out;
+    for (std::istringstream in(all); std::getline(in, one);) out.push_back(one);
+    return out;
+  }
+  int ends[2] = {-1, -1};
+};
+
+TEST_F(LogTest, ATextLineHoldsTimeLevelNameKindAndFields) {
+  Log log("n3", {}, ends[1]);
+  log.write(LogLevel::warning, "reload", "not taken\nat all", {{"host", "s-1"}, {"reason", "two words"}});
+  const auto all = lines();
+  ASSERT_EQ(all.size(), 1u);
+  EXPECT_EQ(all[0].substr(24), " warning n3 reload: not taken at all host=s-1 reason=\"two words\"");
+  EXPECT_EQ(all[0][23], 'Z');
+}
+
+TEST_F(LogTest, AJsonLineIsOneObjectWhateverComes) {
+  Log log("n\"3", {.level = LogLevel::debug, .json = true}, ends[1]);
+  log.write(LogLevel::debug, "x", "a \"quote\", a \x01 and \xff", {{"host", "s\n1"}});
+  const auto all = lines();
+  ASSERT_EQ(all.size(), 1u);
+  const auto json = nlohmann::json::parse(all[0]);
+  EXPECT_EQ(json["name"], "n\"3");
+  EXPECT_EQ(json["level"], "debug");
+  EXPECT_EQ(json["host"], "s\n1");
+}
+
+TEST_F(LogTest, LevelsAndTheAccessLogAreHeeded) {
+  Log log("n", {.level = LogLevel::warning}, ends[1]);
+  log.write(LogLevel::info, "a", "no");
+  log.answered("r", "lookup", "success", 1.5);
+  EXPECT_TRUE(lines().empty());
+  log.set({.level = LogLevel::info, .access = true});
+  log.answered("r", "lookup", "success", 1.5);
+  const auto all = lines();
+  ASSERT_EQ(all.size(), 1u);
+  EXPECT_NE(all[0].find("n access request=r class=lookup end=success ms=1.500"), std::string::npos) << all[0];
+}
+
+TEST_F(LogTest, OneKindOfMessageIsLimitedAndWhatWasLeftOutIsTold) {
+  Log log("n", {.mostPerSecond = 3}, ends[1]);
+  for (int i = 0; i < 50; ++i) log.write(LogLevel::info, "often", "again");
+  log.write(LogLevel::info, "other", "its own limit");
+  const auto first = lines();
+  EXPECT_GE(first.size(), 4u);
+  EXPECT_LE(first.size(), 7u) << "a second may end in between";
+  // The line after that second tells the rest.
+  std::vector<std::string> later;
+  while (later.empty()) {
+    log.write(LogLevel::info, "often", "again");
+    later = lines();
+  }
+  EXPECT_NE(later.front().find("left_out="), std::string::npos) << later.front();
+}
+
+TEST_F(LogTest, AFullPipeDropsAndCountsAndNeverWaits) {
+  Log log("n", {.mostPerSecond = 0}, ends[1]);
+  const int flags = ::fcntl(ends[1], F_GETFL);
+  ::fcntl(ends[1], F_SETFL, flags & ~O_NONBLOCK);  // a write into the full pipe would never come back
+  const std::string text(1000, 'a');
+  for (int i = 0; i < 500; ++i) log.write(LogLevel::info, "long", text);
+  EXPECT_GT(log.dropped(), 0u);
+  const std::uint64_t dropped = log.dropped();
+  EXPECT_EQ(lines().size() + dropped, 500u);
+  log.write(LogLevel::info, "next", "read again");
+  const auto after = lines();
+  ASSERT_EQ(after.size(), 1u);
+  EXPECT_NE(after[0].find("dropped=" + std::to_string(dropped)), std::string::npos) << after[0];
+}
+
+TEST_F(LogTest, AClosedPipeOnlyCounts) {
+  Log log("n", {}, ends[1]);
+  ::close(ends[0]);
+  ends[0] = -1;
+  log.write(LogLevel::info, "x", "nobody");
+  EXPECT_EQ(log.dropped(), 1u);
+}
+
+}  // namespace
+}  // namespace cairnjunction
