The time that an attempt counts for is bounded

Seen: Random.RulesHoldOnFixedSeedSequences under the sanitizers: signed overflow in chrono, now minus the least time. Cause: the usual time against the least of it has no bound, its third power times the allowed mean time leaves the clock's range. Mend: up to three times slower, 27 times the allowed mean; beyond that all that is out counts anyway. Checked: rules_test and bank_test under the sanitizers pass; that test fails without the bound.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -48,8 +48,9 @@
 // usual times' worth before the silence shows.
 constexpr Duration kMaxTimeLeast = milliseconds(80);
 constexpr double kInflightThreshold = 0.5;  // share of that maximum below which nothing is cut
-constexpr double kHeldTimes = 3;  // an attempt counts for so many of the mean time allowed at the most,
-constexpr double kMetWell = 8;    // where a host is met so often a second that a jam shows in half a one
+constexpr double kHeldTimes = 3;   // an attempt counts for so many of the mean time allowed at the most,
+constexpr double kMetWell = 8;     // where a host is met so often a second that a jam shows in half a one
+constexpr double kSlowedMost = 3;  // as the answers slow down, by the third power of it up to this
 constexpr double kHeldGain = 0.05, kHeldSweep = 0.5;  // per arrival, over the last twenty; per sweep
 // Danger: what one of many gateways holds swings by its square root; the cubic makes refusals of the swing.
 constexpr double kThinRange = 0.5;   // full cut later than with much evidence,
@@ -404,8 +405,7 @@
 
   // --- Cutoff -----------------------------------------------------------------------------------------
 
-  // Danger: a gateway that sees a trickle learns noise from half a second. Gain per sweep: over half a
-  // second, and at least over some twenty requests.
+  // Gain per sweep: over half a second, and at least over some twenty requests, for a trickle teaches noise.
   double fastGain() const { return kFastGain * evidence(); }
   double evidence() const { return std::clamp(askedRate / kSteadyRate, 0.05, 1.0); }
 
@@ -429,7 +429,7 @@
   // no few.
   double heldNow() const {
     const double met = askedRate / static_cast<double>(std::max<std::size_t>(listed.size(), 1));
-    const double slowed = leastNorm > 0 ? norm / leastNorm : 1;
+    const double slowed = leastNorm > 0 ? std::min(norm / leastNorm, kSlowedMost) : 1;
     const double times =
         std::max(1 + (kHeldTimes - 1) * std::min(met / kMetWell, 1.0), slowed * slowed * slowed);
     const Time since = now - scaled(seconds(1), times * maxTime());
