--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -174,7 +174,6 @@
   void later(double s, std::function<void()> call) {
     auto timer = std::make_shared<asio::steady_timer>(io_);
     timer->expires_after(seconds(s));
-    timers_.push_back(timer);
     timer->async_wait([timer, call = std::move(call)](error_code ec) {
       if (!ec) call();
     });
@@ -489,7 +488,6 @@
   bool ownDir_ = false, stopping_ = false, interrupted_ = false;
   std::vector<std::unique_ptr<Member>> members_;
   std::vector<std::shared_ptr<Process>> processes_;
-  std::vector<std::weak_ptr<asio::steady_timer>> timers_;
   std::vector<std::string> line_;
   double lagMs_ = 0, cpu_ = 0, memory_ = 0;
 };
@@ -504,12 +502,6 @@
   return "?";
 }
 
-std::string escaped(const std::string& text) {
-  std::string out;
-  for (char c : text) out += c == '&' ? "&amp;" : c == '<' ? "&lt;" : std::string(1, c);
-  return out;
-}
-
 }  // namespace
 
 std::string configOf(const Scenario& s, const DrawnDay& day, std::uint32_t number, std::uint32_t gateways,
--- a/src/lab/platform.cpp
+++ b/src/lab/platform.cpp
@@ -149,7 +149,7 @@
     tick();
   }
 
-  const tcp::endpoint endpoint() const { return port_.endpoint(); }
+  tcp::endpoint endpoint() const { return port_.endpoint(); }
 
   void kill() {
     up = false;
@@ -287,8 +287,7 @@
         return session.reply(response(400, "{\"error\":\"no such request\"}"));
       }
       held.number = static_cast<std::uint32_t>(checker.attempts(id));
-      HostEntry now_ = entry;
-      checker.sent(now, known->gateway, id, number_, now_);
+      checker.sent(now, known->gateway, id, number_, entry);
       job.work = known->work;
       job.key = known->key;
       job.hasKey = known->key != 0;
@@ -528,7 +527,6 @@
 }
 
 const std::string& Platform::zoneOf(std::size_t server) const { return servers_[server]->entry.zone; }
-const std::string& Platform::nameOf(std::size_t server) const { return servers_[server]->entry.address; }
 
 double Platform::capacity() const {
   double sum = 0;
@@ -589,11 +587,6 @@
   }
 }
 
-std::size_t Platform::choked() const {
-  return static_cast<std::size_t>(
-      std::count_if(servers_.begin(), servers_.end(), [](const auto& s) { return s->server.choked(); }));
-}
-
 std::size_t Platform::held() const {
   std::size_t sum = 0;
   for (const auto& s : servers_) sum += s->server.held();
--- a/src/lab/platform.hpp
+++ b/src/lab/platform.hpp
@@ -66,7 +66,6 @@
   tcp::endpoint addAgent();
   std::size_t servers() const { return servers_.size(); }
   const std::string& zoneOf(std::size_t server) const;
-  const std::string& nameOf(std::size_t server) const;
   double capacity() const;  ///< work a second of all servers, warm and well
 
   // Troubles of a server. Each is undone by its opposite.
@@ -85,7 +84,6 @@
 
   /// One line: what each server holds and its state, for a log.
   std::string stateLine() const;
-  std::size_t choked() const;
   std::size_t held() const;
 
  private:
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -17,17 +17,6 @@
 constexpr std::size_t kRows = 14;  // of a text's table over time, about
 constexpr double kSampleS = 0.25;
 
-std::string escaped(const std::string& text) {
-  std::string out;
-  for (char c : text) {
-    if (c == '&') out += "&amp;";
-    else if (c == '<') out += "&lt;";
-    else if (c == '>') out += "&gt;";
-    else out += c;
-  }
-  return out;
-}
-
 // Runs a script of gnuplot in a directory of its own and gives back the SVG.
 std::string plotted(const std::string& script) {
   std::string pattern = (std::filesystem::temp_directory_path() / "hollyrun-lab-XXXXXX").string();
@@ -176,6 +165,17 @@
                      r.failedShare, r.chokedShare, r.p50, r.p99);
 }
 
+std::string escaped(const std::string& text) {
+  std::string out;
+  for (char c : text) {
+    if (c == '&') out += "&amp;";
+    else if (c == '<') out += "&lt;";
+    else if (c == '>') out += "&gt;";
+    else out += c;
+  }
+  return out;
+}
+
 std::string textOf(const Result& r) {
   std::string out = fmt::format("{}  policy {}  seed {}  calls {}  servers {}\n", r.scenario, r.policy,
                                 r.seed, r.calls, r.servers.size());
--- a/src/lab/report.hpp
+++ b/src/lab/report.hpp
@@ -17,6 +17,9 @@
 /// `RULE lost at 3.250 s: request 17, server 10.0.0.1:80: no answer in its time`
 std::string lineOf(const Breach& breach);
 
+/// As it may stand in HTML.
+std::string escaped(const std::string& text);
+
 /// A table of the runs, and plots of each that has its series. Needs gnuplot; throws std::runtime_error if
 /// that cannot be run.
 std::string htmlOf(const std::vector<StoredRun>& runs);
