--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -215,8 +215,8 @@
   Section in(table, "trouble[" + std::to_string(at) + "].", faults);
   Trouble t;
   in.text("kind", t.kind,
-          {"slow", "pauses", "deploy", "zone", "cut", "kill", "silence", "resets", "errors", "settings",
-           "surge", "late_lists"});
+          {"slow", "pauses", "deploy", "zone", "cut", "kill", "silence", "resets", "errors", "lost_answers",
+           "settings", "surge", "late_lists"});
   if (!table->contains("kind")) in.fault(table, "kind", "is missing");
   in.range("chance", t.chance, 0, 1);
   in.range("at_s", t.atS);
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -72,7 +72,7 @@
   std::uint32_t of = 0, server = 0;
   Time at{};
   std::uint8_t number = 0;
-  bool out = true, fresh = false, connected = false;
+  bool out = true, fresh = false, connected = false, swallowed = false;
   Outcome outcome = Outcome::served;
   std::uint32_t epoch = 0;
 };
@@ -101,7 +101,7 @@
   Server server;
   std::uint32_t zone = 0, epoch = 0, turn = 0;
   bool reachable = true, up = true, draining = false, leftSilently = false;
-  double slow = 1, errors = 0, resets = 0;
+  double slow = 1, errors = 0, resets = 0, losses = 0;
   int paused = 0;
 };
 
@@ -545,7 +545,7 @@
     Attempt& a = attempts_[id];
     if (!a.out) return;
     const std::uint32_t g = tries_[a.of].gateway;
-    if (!reachable(g, machines_[a.server])) return;  // swallowed on its way
+    if (a.swallowed || !reachable(g, machines_[a.server])) return;  // on its way
     a.outcome = outcome;
     at(door(now_ + hop(g, machines_[a.server])), Happens::atGateway, id);
   }
@@ -582,6 +582,7 @@
       reschedule(a.server);
       return respond(id, Outcome::reset);
     }
+    a.swallowed = m.losses > 0 && draw.chance(m.losses);
     if (m.errors > 0 && draw.chance(m.errors)) return respond(id, Outcome::error);
     if (!m.server.offer(now_, job)) return respond(id, Outcome::full);
     collect(a.server);
@@ -805,12 +806,12 @@
             pauseAt(i, when + size / 1000, false);
           }
         at(kStart + secs(from), [this] { note("pauses begin"); });
-      } else if (t.kind == "errors" || t.kind == "resets") {
-        const bool errors = t.kind == "errors";
-        during(from, to, some(part, firstServers()), t.kind, [this, size, errors](std::uint32_t i, bool on) {
-          if (errors) machines_[i].errors = on ? size : 0;
-          else machines_[i].resets = on ? size : 0;
-        });
+      } else if (t.kind == "errors" || t.kind == "resets" || t.kind == "lost_answers") {
+        double Machine::*share = t.kind == "errors"   ? &Machine::errors
+                                 : t.kind == "resets" ? &Machine::resets
+                                                      : &Machine::losses;
+        during(from, to, some(part, firstServers()), t.kind,
+               [this, size, share](std::uint32_t i, bool on) { machines_[i].*share = on ? size : 0; });
       } else if (t.kind == "silence") {
         during(from, to, some(part, firstServers()), "silence", [this](std::uint32_t i, bool on) {
           machines_[i].reachable = !on;
