Lab: one place each for a client's retry, a fleet's capacity and an id on the wire

The rule on when a client comes again stood in the model's World and in the load, the drawing of all machines for their capacity in the command and in the platform, the id's 16 digits in the platform and the load; a flag of the load's calls was written and never read.

--- a/src/lab/draw.cpp
+++ b/src/lab/draw.cpp
@@ -98,6 +98,19 @@
   return all;
 }
 
+std::optional<double> retryWait(const DrawnDay& day, std::uint64_t seed, std::uint32_t call, unsigned tries,
+                                unsigned left, const ochrehill::ClassSettings& set, const Unserved& how,
+                                Duration passed) {
+  const bool may = set.effect == ochrehill::Effect::retryable || how.refused || how.unreachable ||
+                   (set.effect == ochrehill::Effect::dedup && set.group == ochrehill::Group::all);
+  Stream habit(seed, "habit", static_cast<std::uint64_t>(call) * 32 + tries);
+  double wait = day.backoff + day.clientHop * 2;
+  if (how.after > Duration(0) && habit.chance(day.honour)) wait = std::max(wait, inSeconds(how.after));
+  if (how.unreachable) wait = std::max(wait, 0.02);
+  if (!may || left == 0 || passed + seconds(wait) >= set.giveUp) return std::nullopt;
+  return wait;
+}
+
 DrawnFleet::DrawnFleet(const Scenario& s, std::uint64_t seed) {
   Stream fleet(seed, "servers");
   const auto count = static_cast<std::size_t>(std::lround(s.servers.draw(fleet)));
@@ -168,6 +181,16 @@
   return m;
 }
 
+double capacityOf(const Scenario& s, std::uint64_t seed, const DrawnFleet& fleet) {
+  double sum = 0;
+  for (std::size_t i = 0; i < fleet.kindOf.size(); ++i) {
+    const ServerFigures f =
+        drawMachine(s, seed, fleet, false, static_cast<std::uint32_t>(i), fleet.kindOf[i], 0, 0).figures;
+    sum += f.cores * f.speed;
+  }
+  return sum;
+}
+
 ochrehill::Settings moduleSettings(const Scenario& s, const DrawnDay& day) {
   ochrehill::Settings set;
   for (const DrawnClass& d : day.classes) set.classes.push_back(d.set);
--- a/src/lab/draw.hpp
+++ b/src/lab/draw.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "lab/scenario.hpp"
@@ -46,6 +47,18 @@
 std::vector<Arrival> arrivalsOf(const Scenario& scenario, std::uint64_t seed, const DrawnDay& day,
                                 double base, const std::vector<Surge>& surges);
 
+/// How a client's try without success went.
+struct Unserved {
+  bool refused = false, unreachable = false;
+  Duration after{};  // Retry-After
+};
+
+/// Seconds until a client tries again by its class and habits, after its `tries`th try of a call.
+/// `left` are the retries it still has, `passed` the time since its first try. None: it leaves it at that.
+std::optional<double> retryWait(const DrawnDay& day, std::uint64_t seed, std::uint32_t call, unsigned tries,
+                                unsigned left, const ochrehill::ClassSettings& set, const Unserved& how,
+                                Duration passed);
+
 struct DrawnFleet {
   DrawnFleet(const Scenario& scenario, std::uint64_t seed);
 
@@ -66,6 +79,9 @@
 DrawnMachine drawMachine(const Scenario& scenario, std::uint64_t seed, const DrawnFleet& fleet, bool chokes,
                          std::uint32_t number, std::size_t kind, std::uint32_t zone, std::size_t cell);
 
+/// Work a second of all machines of the day's start, warm and well.
+double capacityOf(const Scenario& scenario, std::uint64_t seed, const DrawnFleet& fleet);
+
 /// The module's settings on that day, but for what tells one gateway from another.
 ochrehill::Settings moduleSettings(const Scenario& scenario, const DrawnDay& day);
 
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -14,7 +14,6 @@
 namespace http = boost::beast::http;
 using ochrehill::ClassSettings;
 using ochrehill::Effect;
-using ochrehill::Group;
 
 namespace {
 
@@ -24,12 +23,6 @@
 constexpr Duration kWire = std::chrono::milliseconds(500);
 constexpr std::size_t kAmendment = 48;  // bytes of a body
 
-std::string hex(std::uint64_t value) {
-  char text[20];
-  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
-  return text;
-}
-
 std::string parameter(const char* name, std::uint64_t value) { return name + hex(value); }
 
 }  // namespace
@@ -181,7 +174,7 @@
   const Time now = clockNow();
   while (nextArrival_ < arrivals_.size() && started_ + lab::seconds(arrivals_[nextArrival_].at) <= now) {
     const Arrival& a = arrivals_[nextArrival_++];
-    calls_.push_back({a, started_ + lab::seconds(a.at), day_.retries, 0, false});
+    calls_.push_back({a, started_ + lab::seconds(a.at), day_.retries, 0});
     const Call& c = calls_.back();
     const double worth = day_.classes[a.cls].set.worth * a.work;
     secondOf(c).calls += 1;
@@ -292,7 +285,7 @@
     latencies_.add(inSeconds(now - c.first) * 1000);
     bySecond_[std::min(static_cast<std::size_t>(c.arrival.at), bySecond_.size() - 1)].add(
         inSeconds(now - c.first) * 1000);
-    return closed(t->call);
+    return closed();
   }
   const bool refused = status == 429 || status == 503;
   checker_.answered(now, t->id, refused);
@@ -351,17 +344,12 @@
 void Load::again(std::uint32_t call, bool refused, bool unreachable, Duration after) {
   Call& c = calls_[call];
   const ClassSettings& set = day_.classes[c.arrival.cls].set;
-  const bool may = set.effect == Effect::retryable || refused || unreachable ||
-                   (set.effect == Effect::dedup && set.group == Group::all);
-  Stream habit(seed_, "habit", static_cast<std::uint64_t>(call) * 32 + c.tries);
-  double wait = day_.backoff + day_.clientHop * 2;
-  if (after > Duration(0) && habit.chance(day_.honour)) wait = std::max(wait, inSeconds(after));
-  if (unreachable) wait = std::max(wait, 0.02);
-  if (!may || c.left == 0 || clockNow() + lab::seconds(wait) - c.first >= set.giveUp)
-    return leave(call, refused);
+  const auto wait =
+      retryWait(day_, seed_, call, c.tries, c.left, set, {refused, unreachable, after}, clockNow() - c.first);
+  if (!wait) return leave(call, refused);
   --c.left;
   auto timer = std::make_shared<asio::steady_timer>(io_);
-  timer->expires_after(lab::seconds(wait));
+  timer->expires_after(lab::seconds(*wait));
   timer->async_wait([this, timer, call](error_code ec) {
     if (!ec) attempt(call);
   });
@@ -372,11 +360,10 @@
   ClassRecord& record = result_.classes[c.arrival.cls];
   (refused ? secondOf(c).refused : secondOf(c).failed) += 1;
   (refused ? record.refused : record.failed) += 1;
-  closed(call);
+  closed();
 }
 
-void Load::closed(std::uint32_t call) {
-  calls_[call].ended = true;
+void Load::closed() {
   --open_;
   if (open_ == 0 && nextArrival_ == arrivals_.size() && done_) std::exchange(done_, nullptr)();
 }
--- a/src/lab/load.hpp
+++ b/src/lab/load.hpp
@@ -61,7 +61,6 @@
     Arrival arrival;
     Time first{};
     unsigned left = 0, tries = 0;
-    bool ended = false;
   };
   class Connection;
   struct Try;
@@ -74,7 +73,7 @@
   void overdue(const std::shared_ptr<Try>& t);
   void again(std::uint32_t call, bool refused, bool unreachable, Duration after);
   void leave(std::uint32_t call, bool refused);
-  void closed(std::uint32_t call);
+  void closed();
   Second& secondOf(const Call& c);
   std::string textOf(const Try& t) const;
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -326,16 +326,7 @@
   for (std::size_t i = 0; i < o.to.size(); ++i)
     targets.push_back(
         {o.to[i], endpointOf(o.to[i]), static_cast<std::uint32_t>(i % scenario.zones.size()), true});
-  const DrawnFleet fleet(scenario, o.seed);
-  const DrawnDay day(scenario, o.seed);
-  double capacity = 0;
-  for (std::size_t i = 0; i < fleet.kindOf.size(); ++i) {
-    const ServerFigures f =
-        drawMachine(scenario, o.seed, fleet, day.chokes, static_cast<std::uint32_t>(i), fleet.kindOf[i],
-                    static_cast<std::uint32_t>(i % scenario.zones.size()), i / fleet.cellSize)
-            .figures;
-    capacity += f.cores * f.speed;
-  }
+  const double capacity = capacityOf(scenario, o.seed, DrawnFleet(scenario, o.seed));
   Load clients(io, scenario, o.seed, {o.rate, o.seconds > 0 ? o.seconds : 10, o.cls}, capacity, targets);
   bool interrupted = false;
   asio::signal_set signals(io, SIGINT, SIGTERM);
--- a/src/lab/platform.cpp
+++ b/src/lab/platform.cpp
@@ -123,14 +123,19 @@
   return e.address().to_string() + ":" + std::to_string(e.port());
 }
 
+std::string hex(std::uint64_t id) {
+  char text[20];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(id));
+  return text;
+}
+
 HeldPort::HeldPort(asio::io_context& io) : socket_(io, tcp::v4()) {
   socket_.set_option(tcp::socket::reuse_address(true));
   socket_.bind({asio::ip::address_v4::loopback(), 0});
   endpoint_ = socket_.local_endpoint();
 }
 
-// --- Record servers
-// -----------------------------------------------------------------------------------------
+// --- Record servers --------------------------------------------------------------------------------------
 
 class RecordServer {
  public:
@@ -326,9 +331,7 @@
     if (it == jobs_.end()) return;
     if (draw_.chance(server.figures().errorRate))
       return answer(e.attempt, Outcome::error, response(500, "{\"error\":\"failed\"}"));
-    char id[20];
-    std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(it->second.id));
-    const json body{{"id", id}, {"class", it->second.cls}, {"server", entry.address}};
+    const json body{{"id", hex(it->second.id)}, {"class", it->second.cls}, {"server", entry.address}};
     answer(e.attempt, Outcome::served, response(200, body.dump() + "\n"));
   }
   void answer(std::uint32_t attempt, Outcome outcome, Response r) {
@@ -368,8 +371,7 @@
   bool accepting_ = false;
 };
 
-// --- Discovery
-// ----------------------------------------------------------------------------------------------
+// --- Discovery -------------------------------------------------------------------------------------------
 
 class Agent {
  public:
@@ -499,8 +501,7 @@
   std::uint64_t rev_ = 0;
 };
 
-// --- The whole
-// ----------------------------------------------------------------------------------------------
+// --- The whole -------------------------------------------------------------------------------------------
 
 Platform::Platform(asio::io_context& io, const Scenario& scenario, std::uint64_t seed, Witness* witness)
     : io_(io),
@@ -528,12 +529,6 @@
 
 const std::string& Platform::zoneOf(std::size_t server) const { return servers_[server]->entry.zone; }
 
-double Platform::capacity() const {
-  double sum = 0;
-  for (const auto& s : servers_) sum += s->server.figures().cores * s->server.figures().speed;
-  return sum;
-}
-
 void Platform::slow(std::size_t server, double factor) {
   servers_[server]->server.slow(clockNow(), std::max(factor, 1.0));
   servers_[server]->settle();
--- a/src/lab/platform.hpp
+++ b/src/lab/platform.hpp
@@ -23,6 +23,8 @@
 /// The rig's clock: nanoseconds that never go back, well above zero, for zero reads as "long past".
 Time clockNow();
 std::string textOf(const tcp::endpoint& endpoint);
+/// A request's id as it stands on the wire: 16 hexadecimal digits.
+std::string hex(std::uint64_t id);
 
 /// A port of the kernel's choice, kept for as long as this lives: bound and never listening, so that the one
 /// that it is meant for can bind it too (both with SO_REUSEADDR) and nobody else is given it.
@@ -66,7 +68,7 @@
   tcp::endpoint addAgent();
   std::size_t servers() const { return servers_.size(); }
   const std::string& zoneOf(std::size_t server) const;
-  double capacity() const;  ///< work a second of all servers, warm and well
+  double capacity() const { return capacityOf(scenario_, seed_, fleet_); }
 
   // Troubles of a server. Each is undone by its opposite.
   void slow(std::size_t server, double factor);  ///< 1 is its usual speed
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -302,15 +302,11 @@
   void retry(std::uint32_t id, bool refused, bool unreachable, Duration after) {
     Call& c = clientCalls_[id];
     const ClassSettings& set = settings_.classes[c.cls];
-    const bool may = set.effect == Effect::retryable || refused || unreachable ||
-                     (set.effect == Effect::dedup && set.group == Group::all);
-    Stream habit(seed_, "habit", static_cast<std::uint64_t>(id) * 32 + c.tries);
-    double wait = d_.backoff + d_.clientHop * 2;
-    if (after > Duration(0) && habit.chance(d_.honour)) wait = std::max(wait, inSeconds(after));
-    if (unreachable) wait = std::max(wait, 0.02);
-    if (!may || c.left == 0 || now_ + secs(wait) - c.first >= set.giveUp) return leave(c, refused);
+    const auto wait =
+        retryWait(d_, seed_, id, c.tries, c.left, set, {refused, unreachable, after}, now_ - c.first);
+    if (!wait) return leave(c, refused);
     --c.left;
-    at(now_ + secs(wait), Happens::clientTry, id);
+    at(now_ + secs(*wait), Happens::clientTry, id);
   }
 
   Settings settingsOf(std::uint32_t g) {
