--- /dev/null
+++ b/src/lab/members.cpp
@@ -0,0 +1,279 @@
+#include "lab/members.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace hollyrun::lab {
+
+using fleet::Address;
+using fleet::Duration;
+using fleet::Membership;
+using fleet::State;
+using fleet::Time;
+
+MemberWorld::MemberWorld(std::uint64_t seed, fleet::MembershipSettings settings, Weather weather)
+    : passes([](std::size_t, std::size_t) { return true; }),
+      seed_(seed),
+      settings_(std::move(settings)),
+      weather_(weather),
+      draw_(seed, "members") {}
+
+std::size_t MemberWorld::add(const std::string& name, const std::string& zone) {
+  Node node;
+  node.name = name;
+  node.zone = zone;
+  node.address = {0x7f000001, static_cast<std::uint16_t>(1000 + nodes_.size())};
+  byAddress_[node.address] = nodes_.size();
+  nodes_.push_back(std::move(node));
+  wakes_.push_back(Time::max());
+  return nodes_.size() - 1;
+}
+
+void MemberWorld::start(std::size_t i) {
+  Node& n = nodes_[i];
+  fleet::Record self;
+  self.name = n.name;
+  self.address = n.address;
+  self.zone = n.zone;
+  self.version = "1";
+  n.stopped = false;
+  n.inbox.clear();
+  n.from.clear();
+  ++n.lives;
+  wakes_[i] = Time::max();
+  n.logic = std::make_unique<Membership>(settings_, self, seed_ * 1000003 + i * 101 + n.lives, now_);
+  collect(i);
+}
+
+void MemberWorld::leave(std::size_t i) {
+  nodes_[i].logic->leave(now_);
+  collect(i);
+  kill(i);
+}
+
+void MemberWorld::wake(std::size_t i) {
+  Node& n = nodes_[i];
+  n.stopped = false;
+  // What its socket kept comes first: a loop that goes on reads before its timer, or after it.
+  const bool timerFirst = draw_.chance(0.5);
+  if (timerFirst && n.logic) n.logic->onWake(now_);
+  for (std::size_t k = 0; k < n.inbox.size(); ++k)
+    if (n.logic) n.logic->onDatagram(now_, n.from[k], n.inbox[k].second);
+  n.inbox.clear();
+  n.from.clear();
+  if (!n.logic) return;
+  n.logic->onWake(now_);
+  wakes_[i] = Time::max();
+  collect(i);
+}
+
+std::optional<std::size_t> MemberWorld::nodeAt(const Address& address) const {
+  const auto it = byAddress_.find(address);
+  return it == byAddress_.end() ? std::nullopt : std::optional(it->second);
+}
+
+void MemberWorld::inject(std::size_t to, const Address& from, std::string bytes) {
+  if (!nodes_[to].logic) return;
+  nodes_[to].logic->onDatagram(now_, from, bytes);
+  collect(to);
+}
+
+void MemberWorld::collect(std::size_t i) {
+  Membership& logic = *nodes_[i].logic;
+  for (fleet::Datagram& d : std::exchange(logic.datagrams(), {})) {
+    const auto to = nodeAt(d.to);
+    if (tap && to) tap(i, *to, d.bytes);
+    if (!to || !passes(i, *to) || draw_.chance(weather_.loss)) continue;
+    for (int copies = draw_.chance(weather_.copies) ? 2 : 1; copies > 0; --copies) {
+      Due due;
+      due.at =
+          now_ + Duration(static_cast<std::int64_t>(1e6 * draw_.uniform(weather_.leastMs, weather_.mostMs)));
+      due.order = ++order_;
+      due.node = *to;
+      due.from = nodes_[i].address;
+      due.bytes = d.bytes;
+      if (draw_.chance(weather_.spoils))
+        due.bytes[draw_.below(due.bytes.size())] = static_cast<char>(draw_.below(256));
+      due_.push(std::move(due));
+    }
+  }
+  for (fleet::Event& e : std::exchange(logic.events(), {})) seen_.push_back({now_, i, std::move(e)});
+  if (logic.wakeAt() >= wakes_[i]) return;
+  wakes_[i] = logic.wakeAt();
+  Due due;
+  due.at = std::max(now_, wakes_[i]);
+  due.order = ++order_;
+  due.node = i;
+  due.wake = true;
+  due.life = nodes_[i].lives;
+  due_.push(std::move(due));
+}
+
+void MemberWorld::runUntil(Time until) {
+  while (!due_.empty() && due_.top().at <= until) {
+    const Due due = due_.top();
+    due_.pop();
+    now_ = std::max(now_, due.at);
+    Node& n = nodes_[due.node];
+    if (!n.logic || (due.wake && due.life != n.lives)) continue;
+    if (n.stopped) {
+      // A socket holds so much; the rest is lost.
+      if (!due.wake && n.inbox.size() < 500) n.inbox.push_back({now_, due.bytes}), n.from.push_back(due.from);
+      continue;
+    }
+    ++steps_;
+    if (due.wake) {
+      wakes_[due.node] = Time::max();
+      n.logic->onWake(now_);
+    } else {
+      n.logic->onDatagram(now_, due.from, due.bytes);
+    }
+    collect(due.node);
+  }
+  now_ = std::max(now_, until);
+}
+
+bool MemberWorld::runUntil(const std::function<bool()>& done, Duration most) {
+  const Time end = now_ + most;
+  while (!done()) {
+    if (now_ >= end) return false;
+    runUntil(std::min(end, now_ + settings_.period / 4));
+  }
+  return true;
+}
+
+std::vector<std::size_t> MemberWorld::living() const {
+  std::vector<std::size_t> all;
+  for (std::size_t i = 0; i < nodes_.size(); ++i)
+    if (nodes_[i].logic && !nodes_[i].stopped) all.push_back(i);
+  return all;
+}
+
+bool MemberWorld::agreed() const {
+  const std::vector<std::size_t> all = living();
+  for (const std::size_t i : all)
+    if (at(i).present() != all.size() || at(i).digest() != at(all.front()).digest()) return false;
+  return true;
+}
+
+fleet::Counters MemberWorld::counters() const {
+  fleet::Counters sum;
+  for (const Node& n : nodes_) {
+    if (!n.logic) continue;
+    const fleet::Counters& c = n.logic->counters();
+    sum.sent += c.sent;
+    sum.bytesOut += c.bytesOut;
+    sum.deaths += c.deaths;
+    sum.suspicions += c.suspicions;
+    sum.received += c.received;
+    sum.stale += c.stale;
+  }
+  return sum;
+}
+
+namespace {
+
+double inPeriods(Duration d, const fleet::MembershipSettings& s) {
+  return static_cast<double>(d.count()) / static_cast<double>(s.period.count());
+}
+
+double quantileOf(std::vector<double> v, double at) {
+  if (v.empty()) return 0;
+  std::sort(v.begin(), v.end());
+  return v[static_cast<std::size_t>(at * static_cast<double>(v.size() - 1))];
+}
+
+}  // namespace
+
+MembersRow measureMembers(std::size_t members, double loss, std::size_t kills, std::uint64_t seed) {
+  MembersRow row;
+  row.members = members;
+  row.loss = loss;
+  fleet::MembershipSettings settings;
+  settings.seeds = {{0x7f000001, 1000}, {0x7f000001, 1001}};
+  Weather weather;
+  weather.loss = loss;
+  MemberWorld world(seed, settings, weather);
+  Stream draw(seed, "kills");
+  for (std::size_t i = 0; i < members; ++i) world.start(world.add("gateway-" + std::to_string(i)));
+  world.runUntil([&] { return world.agreed(); }, settings.period * 600);
+
+  const fleet::Counters before = world.counters();
+  const std::uint64_t steps = world.steps();
+  const auto clock = std::chrono::steady_clock::now();
+  const int quiet = 120;  // periods
+  world.seen().clear();
+  world.runFor(settings.period * quiet);
+  const double took =
+      std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - clock).count();
+  const fleet::Counters after = world.counters();
+  const double each = static_cast<double>(members) * quiet;
+  row.micros = took / static_cast<double>(world.steps() - steps);
+  row.datagrams = static_cast<double>(after.sent - before.sent) / each;
+  row.bytes = static_cast<double>(after.bytesOut - before.bytesOut) / each;
+  std::set<std::pair<std::string, std::uint64_t>> killed;  // wrongly, each once
+  for (const auto& s : world.seen())
+    if (s.event.kind == fleet::Event::Kind::died)
+      killed.insert({s.event.member.name, s.event.member.incarnation});
+  row.falseDeaths = static_cast<double>(killed.size()) / each * 3600;
+
+  std::vector<double> detect, all, join;
+  for (std::size_t k = 0; k < kills; ++k) {
+    const std::size_t victim = draw.below(members);
+    world.runFor(Duration(static_cast<std::int64_t>(draw.unit() * 1e9)));
+    const std::string name = world.nodes()[victim].name;
+    world.seen().clear();
+    world.kill(victim);
+    const Time at = world.now();
+    const auto gone = [&] {
+      for (const std::size_t i : world.living()) {
+        const auto it = world.at(i).others().find(name);
+        if (it != world.at(i).others().end() && fleet::present(it->second.record.state)) return false;
+      }
+      return true;
+    };
+    world.runUntil(gone, settings.period * 400);
+    all.push_back(inPeriods(world.now() - at, settings));
+    for (const auto& s : world.seen())
+      if (s.event.kind == fleet::Event::Kind::died && s.event.member.name == name) {
+        detect.push_back(inPeriods(s.at - at, settings));
+        break;
+      }
+    world.start(victim);
+    const Time back = world.now();
+    const auto known = [&] {
+      for (const std::size_t i : world.living()) {
+        if (i == victim) continue;
+        const auto it = world.at(i).others().find(name);
+        if (it == world.at(i).others().end() || !fleet::present(it->second.record.state)) return false;
+      }
+      return true;
+    };
+    world.runUntil(known, settings.period * 400);
+    join.push_back(inPeriods(world.now() - back, settings));
+  }
+  row.detectP50 = quantileOf(detect, 0.5);
+  row.detectP99 = quantileOf(detect, 0.99);
+  row.allP50 = quantileOf(all, 0.5);
+  row.allP99 = quantileOf(all, 0.99);
+  row.joinP99 = quantileOf(join, 0.99);
+  return row;
+}
+
+std::string textOf(const std::vector<MembersRow>& rows) {
+  std::string text =
+      "members  loss  detect p50  p99  all know p50   p99  newcomer p99  false deaths/h  datagrams  bytes  "
+      "us\n";
+  for (const MembersRow& r : rows)
+    text += fmt::format(
+        "{:7}  {:4.2f}  {:10.1f}  {:3.0f}  {:12.1f}  {:4.0f}  {:12.1f}  {:14.2f}  {:9.1f}  {:5.0f}  "
+        "{:2.0f}\n",
+        r.members, r.loss, r.detectP50, r.detectP99, r.allP50, r.allP99, r.joinP99, r.falseDeaths,
+        r.datagrams, r.bytes, r.micros);
+  return text;
+}
+
+}  // namespace hollyrun::lab
--- /dev/null
+++ b/src/lab/members.hpp
@@ -0,0 +1,114 @@
+// The fleet's membership in virtual time: any number of members, each the code that the gateway runs, and a
+// network between them that loses, delays, copies, corrupts and cuts by seed.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "fleet/membership.hpp"
+#include "lab/random.hpp"
+
+namespace hollyrun::lab {
+
+/// What the network does to each datagram.
+struct Weather {
+  double loss = 0, copies = 0, spoils = 0;  ///< shares
+  double leastMs = 0.2, mostMs = 2;         ///< of the way; reorders where they differ
+};
+
+class MemberWorld {
+ public:
+  struct Node {
+    std::unique_ptr<fleet::Membership> logic;  ///< null: dead
+    std::string name, zone;
+    fleet::Address address;
+    bool stopped = false;
+    std::uint64_t lives = 0;
+    std::vector<std::pair<fleet::Time, std::string>> inbox;  ///< while stopped
+    std::vector<fleet::Address> from;
+  };
+  struct Seen {  // an event at a member
+    fleet::Time at;
+    std::size_t node;
+    fleet::Event event;
+  };
+
+  MemberWorld(std::uint64_t seed, fleet::MembershipSettings settings, Weather weather = {});
+
+  std::size_t add(const std::string& name, const std::string& zone = "a");
+  void start(std::size_t node);
+  void kill(std::size_t node) { nodes_[node].logic.reset(); }
+  void leave(std::size_t node);
+  void stop(std::size_t node) { nodes_[node].stopped = true; }
+  void wake(std::size_t node);
+  void runUntil(fleet::Time until);
+  void runFor(fleet::Duration d) { runUntil(now_ + d); }
+  /// Runs until `done`, looked at four times a period; false if it is not within `most`.
+  bool runUntil(const std::function<bool()>& done, fleet::Duration most);
+  /// A datagram out of nowhere.
+  void inject(std::size_t to, const fleet::Address& from, std::string bytes);
+
+  fleet::Time now() const { return now_; }
+  std::vector<Node>& nodes() { return nodes_; }
+  const fleet::Membership& at(std::size_t node) const { return *nodes_[node].logic; }
+  std::vector<Seen>& seen() { return seen_; }
+  Weather& weather() { return weather_; }
+  fleet::MembershipSettings& settings() { return settings_; }
+  /// Whether a datagram may pass; default all.
+  std::function<bool(std::size_t from, std::size_t to)> passes;
+  /// Sees each datagram as it is sent.
+  std::function<void(std::size_t from, std::size_t to, const std::string& bytes)> tap;
+
+  std::vector<std::size_t> living() const;
+  /// All living, running members hold each other and nobody else for present.
+  bool agreed() const;
+  /// Sums over all members that live now.
+  fleet::Counters counters() const;
+  std::uint64_t steps() const { return steps_; }
+
+ private:
+  struct Due {
+    fleet::Time at;
+    std::uint64_t order;
+    std::size_t node;
+    bool wake = false;
+    std::uint64_t life = 0;
+    fleet::Address from;
+    std::string bytes;
+    bool operator>(const Due& o) const { return at != o.at ? at > o.at : order > o.order; }
+  };
+  void collect(std::size_t node);
+  std::optional<std::size_t> nodeAt(const fleet::Address& address) const;
+
+  std::uint64_t seed_;
+  fleet::MembershipSettings settings_;
+  Weather weather_;
+  Stream draw_;
+  fleet::Time now_ = std::chrono::hours(1);
+  std::uint64_t order_ = 0, steps_ = 0;
+  std::vector<Node> nodes_;
+  std::map<fleet::Address, std::size_t> byAddress_;
+  std::vector<fleet::Time> wakes_;
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
+  std::vector<Seen> seen_;
+};
+
+/// One row of the table in docs/membership.md.
+struct MembersRow {
+  std::size_t members = 0;
+  double loss = 0;
+  double detectP50 = 0, detectP99 = 0;  ///< periods from a kill until the first holds it dead
+  double allP50 = 0, allP99 = 0;        ///< periods until all do
+  double joinP99 = 0;                   ///< periods until all know a newcomer
+  double falseDeaths = 0;               ///< an hour and member, at a period of 1 s, on a quiet day
+  double datagrams = 0, bytes = 0;      ///< sent a member and period
+  double micros = 0;                    ///< processor time of an event
+};
+MembersRow measureMembers(std::size_t members, double loss, std::size_t kills, std::uint64_t seed);
+std::string textOf(const std::vector<MembersRow>& rows);
+
+}  // namespace hollyrun::lab
