Gateways as members of a fleet: socket, settings, /ops/fleet, metrics, hollyrun fleet

Need: the logic of membership has to run in the gateway, off unless configured.

src/net/fleet_link holds the UDP socket and the timer. [membership] in TOML, /membership in JSON, GW_MEMBERSHIP, GW_MEMBERSHIP_ADVERTISE and GW_SEEDS configure it; SIGHUP changes it, turns it on, moves it and turns it off. At SIGTERM it says goodbye, or hands the place to the newer process of an upgrade without a word. The module's divisor of fleet-wide limits is the larger of the configured number and of all that may hold a part, given to it as new settings. Operators have GET /ops/fleet, metrics, log lines, and `hollyrun fleet ADDRESS...`, which ends with 1 where views or settings differ. Without the section there is no socket, timer or cost.

The module is unchanged.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,10 +12,12 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "net/config.hpp"
 #include "net/gateway.hpp"
 #include "net/keys.hpp"
+#include "net/ops_client.hpp"
 
 namespace {
 
@@ -99,6 +101,15 @@
   return 0;
 }
 
+// Of the command line, for commands that ask running gateways.
+std::vector<std::string> addresses;
+
+int fleet(const Environment&) {
+  bool agree = true;
+  std::cout << fleetTable(addresses, agree);
+  return agree ? 0 : kFailed;
+}
+
 int version(const Environment&) {
   std::cout << "hollyrun " HOLLYRUN_VERSION "\n";
   return 0;
@@ -126,6 +137,10 @@
         CLI::App* sub = app.add_subcommand(name, what);
         sub->callback([&command, f] { command = f; });
         if (f == version) return;
+        if (f == fleet) {
+          sub->add_option("address", addresses, "management address, host:port")->required();
+          return;
+        }
         const std::pair<const char*, const char*> options[] = {{"GW_CONFIG", "--config"},
                                                                {"GW_NAME", "--name"},
                                                                {"GW_LISTEN", "--listen"},
@@ -139,6 +154,7 @@
       add("serve", "serve until SIGTERM; SIGHUP reads the file again", serve);
       add("check", "name every fault of the configuration, with file, line and key", check);
       add("show", "print the settings in effect as TOML, and where each came from", showAll);
+      add("fleet", "show the members that gateways see; ends with 1 where their views differ", fleet);
       add("version", "print the version", version);
       try {
         app.parse(argc, argv);
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -1,10 +1,13 @@
 #include "net/config.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <type_traits>
 
+#include "fleet/message.hpp"
 #include "net/json_number.hpp"
 #include "net/keys.hpp"
 
@@ -189,10 +192,49 @@
   return *endpoint;
 }
 
+std::optional<MembershipConfig> readMembership(const json& config, const Environment& environment) {
+  const json& part = cairnjunction::part(config, "membership");
+  const auto endpoint = [](const tcp::endpoint& e) { return udp::endpoint(e.address(), e.port()); };
+  const auto listen = endpointIfTold(part, "listen", "GW_MEMBERSHIP", environment);
+  if (!listen) return std::nullopt;
+  MembershipConfig m;
+  m.listen = endpoint(*listen);
+  if (const auto advertise = endpointIfTold(part, "advertise", "GW_MEMBERSHIP_ADVERTISE", environment))
+    m.advertise = endpoint(*advertise);
+  read(part, "fleet", m.fleet);
+  read(part, "region", m.region);
+  read(part, "periodNs", m.period);
+  if (m.period < std::chrono::milliseconds(10)) throw BadConfig("periodNs: must be at least 10 ms");
+  std::vector<std::string> seeds;
+  read(part, "seeds", seeds);
+  if (const char* told = environment("GW_SEEDS")) {
+    seeds.clear();
+    std::istringstream all(told);
+    for (std::string one; std::getline(all, one, ',');)
+      if (!one.empty()) seeds.push_back(one);
+  }
+  for (const std::string& seed : seeds) try {
+      m.seeds.push_back(endpoint(parseEndpoint(seed)));
+    } catch (const std::invalid_argument& bad) {
+      throw BadConfig(std::string("membership seeds: ") + bad.what());
+    }
+  return m;
+}
+
+// Texts that travel between gateways are short and can be shown.
+void needShort(const char* what, const std::string& text, bool needed) {
+  const bool plain =
+      std::none_of(text.begin(), text.end(), [](unsigned char c) { return c < 0x20 || c == 0x7f; });
+  if (text.size() > hollyrun::fleet::kMostText || !plain || (needed && text.empty()))
+    throw BadConfig(std::string(what) + ": for membership it has to be a text of " + (needed ? "1" : "0") +
+                    " to " + std::to_string(hollyrun::fleet::kMostText) +
+                    " bytes with no control characters");
+}
+
 // What a file may leave out though the running one had it: WIRE says so, or it counts at a start only.
 bool optional(const std::string& key) {
   for (const char* name : {"aimStretch", "staysIn", "boundTo", "passesDeadline", "warmKeys", "known", "seed",
-                           "name", "management", "log"})
+                           "name", "management", "log", "membership"})
     if (key == name) return true;
   return false;
 }
@@ -237,6 +279,13 @@
   if (const char* tmp = environment("TMPDIR"); tmp && *tmp) config.tmp = tmp;
   config.module = readSettings(part(json, "settings"));
   config.log = readLog(part(json, "log"));
+  config.membership = readMembership(json, environment);
+  if (config.membership) {
+    needShort("name", config.name, true);
+    needShort("zone", config.module.zone, false);
+    needShort("region", config.membership->region, false);
+    needShort("fleet", config.membership->fleet, true);
+  }
   std::string seed;
   read(json, "seed", seed);
   if (!seed.empty()) config.module.seed = readSeed(seed);
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -21,11 +22,20 @@
 namespace cairnjunction {
 
 using tcp = boost::asio::ip::tcp;
+using udp = boost::asio::ip::udp;
 
 struct BadConfig : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
+struct MembershipConfig {
+  udp::endpoint listen;
+  std::optional<udp::endpoint> advertise;  // where others reach it; none: at the address it listens on
+  std::string fleet = "fleet", region;
+  std::vector<udp::endpoint> seeds;
+  ochrehill::Duration period = std::chrono::seconds(1);
+};
+
 struct Config {
   std::string name;
   tcp::endpoint listen, discovery;
@@ -36,7 +46,8 @@
   ochrehill::Duration connectTimeout{};     // for a new connection to a host
   ochrehill::Settings module;               // for the decisions
   LogSettings log;
-  std::optional<HostList> known;  // hosts as last had; may be old
+  std::optional<MembershipConfig> membership;  // none: that part is off
+  std::optional<HostList> known;               // hosts as last had; may be old
   std::shared_ptr<const nlohmann::json> source;
   std::vector<std::string> warnings;  // of the file: keys that nobody knows
 };
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -171,16 +171,22 @@
   // The module asks discovery once it was given a list, an empty one too.
   told(config.known ? *config.known : HostList{0, true, {}}, ListKind::restored);
   if (config.management) {
-    management_.emplace(io, *config.management,
-                        Management::Callbacks{[this] { return takesClients(); },
-                                              [this] { return statistics_.render(gauges()); },
-                                              [this] { return statistics_.metrics(gauges()); }});
+    management_.emplace(
+        io, *config.management,
+        Management::Callbacks{
+            [this] { return takesClients(); }, [this] { return statistics_.render(gauges()); },
+            [this] {
+              return statistics_.metrics(
+                  gauges(), fleet_ ? fleet_->metrics() : std::vector<prometheus::MetricFamily>());
+            },
+            [this] { return fleet_ ? fleet_->text() : std::string(); }});
     if (listen_.port() != 0) try {  // a port that the kernel picks is shared with nobody
         twin_.emplace(io, config.tmp, listen_, [this] { share(); });
       } catch (const std::runtime_error& bad) {  // it serves alone
         log_.write(LogLevel::warning, "upgrade", bad.what());
       }
   }
+  join(config);
   if (twin_ && twin_->present()) {
     share();
     openTimer_.expires_after(kOpenLast);  // the first look at discovery opens it sooner
@@ -227,10 +233,35 @@
   hosts_.setTimes(config.connectTimeout, config.module.idleClose);
   balancer_.onSettings(now(), config.module);
   statistics_.reconfigured(true);
+  join(config);
   if (config.discovery != discovery_.server()) discovery_.moveTo(config.discovery);
   drainActions();
 }
 
+// In the fleet as the configuration wants it. A place that is another now is left and taken anew.
+void Gateway::join(const Config& config) {
+  groupSize_ = config.module.groupSize;
+  if (draining_) return;
+  if (fleet_ && fleet_->serves(config)) fleet_->reload(config);
+  else {
+    if (fleet_) fleet_->leave(false);
+    fleet_.reset();
+    if (config.membership) fleet_.emplace(io_, config, log_, [this] { divide(); });
+  }
+  divide();
+}
+
+// Limits of the whole fleet are divided by all that may hold a part. Danger: never by fewer than were
+// configured, or the two sides of a cut would hold more than the whole.
+void Gateway::divide() {
+  const std::uint32_t size = std::max(groupSize_, fleet_ ? fleet_->holders() : 1);
+  if (size == settings_.groupSize) return;
+  settings_.groupSize = size;
+  balancer_.onSettings(now(), settings_);
+  log_.write(LogLevel::info, "fleet", "limits of the fleet are divided anew", {{"by", std::to_string(size)}});
+  drainActions();
+}
+
 void Gateway::open() {
   if (clients_.takesClients() || draining_) return;
   clients_.listen(listen_, management_.has_value());
@@ -535,6 +566,7 @@
   draining_ = true;
   drained_ = std::move(done);
   openTimer_.cancel();
+  if (fleet_) fleet_->leave(twin_ && twin_->present());
   clients_.lastAnswers();
   drainTimer_.expires_after(kAcceptOn);
   drainTimer_.async_wait([this](error_code ec) {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -15,6 +15,7 @@
 #include "net/client_server.hpp"
 #include "net/config.hpp"
 #include "net/discovery.hpp"
+#include "net/fleet_link.hpp"
 #include "net/host_pool.hpp"
 #include "net/log.hpp"
 #include "net/management.hpp"
@@ -45,6 +46,7 @@
 
   boost::asio::ip::tcp::endpoint listening() const { return clients_.listening(); }
   std::optional<boost::asio::ip::tcp::endpoint> management() const;
+  const FleetLink* fleet() const { return fleet_ ? &*fleet_ : nullptr; }
   // New settings bind requests from here on. If discovery has a new address, the list held stays until that
   // tells more.
   void reload(const Config& config);
@@ -88,6 +90,8 @@
   Statistics::Gauges gauges() const;
   bool takesClients() const { return ready_ && !draining_ && clients_.takesClients(); }
   void take(const ochrehill::Settings& settings);
+  void join(const Config& config);
+  void divide();
   void open();
   void share();
   void wakeAt(ochrehill::Time at);
@@ -114,9 +118,11 @@
   ochrehill::Time wakeAt_{};
   ochrehill::RequestId lastRequest_ = 0;
   std::function<void()> drained_;
+  std::uint32_t groupSize_ = 1;  // as configured
   bool carrying_ = false, ready_ = false, draining_ = false;
   Statistics statistics_;
   std::optional<Twin> twin_;
+  std::optional<FleetLink> fleet_;
   std::optional<Management> management_;
   ClientServer clients_;  // last: it may hand over requests from here on
 };
--- a/src/net/keys.cpp
+++ b/src/net/keys.cpp
@@ -30,6 +30,9 @@
   if (key == "listen") return "GW_LISTEN";
   if (key == "discovery") return "GW_DISCOVERY";
   if (key == "management") return "GW_MANAGEMENT";
+  if (key == "membership.listen") return "GW_MEMBERSHIP";
+  if (key == "membership.advertise") return "GW_MEMBERSHIP_ADVERTISE";
+  if (key == "membership.seeds") return "GW_SEEDS";
   return {};
 }
 
@@ -236,9 +239,11 @@
 }
 
 std::string topValue(std::string_view name, const Config& c) {
-  const auto address = [](const tcp::endpoint& e) {
-    return quoted(e.address().to_string() + ":" + std::to_string(e.port()));
+  const auto plainAddress = [](const auto& e) {
+    return e.address().to_string() + ":" + std::to_string(e.port());
   };
+  const auto address = [&](const auto& e) { return quoted(plainAddress(e)); };
+  const MembershipConfig member = c.membership.value_or(MembershipConfig{});
   const ochrehill::Settings& s = c.module;
   const std::map<std::string_view, std::function<std::string()>> values{
       {"name", [&] { return quoted(c.name); }},
@@ -262,6 +267,18 @@
       {"log.format", [&] { return quoted(c.log.json ? "json" : "text"); }},
       {"log.access", [&] { return yes(c.log.access); }},
       {"log.most_per_s", [&] { return std::to_string(c.log.mostPerSecond); }},
+      {"membership.listen", [&] { return c.membership ? address(member.listen) : std::string(kOff); }},
+      {"membership.advertise",
+       [&] { return member.advertise ? address(*member.advertise) : std::string(kOff); }},
+      {"membership.fleet", [&] { return quoted(member.fleet); }},
+      {"membership.region", [&] { return quoted(member.region); }},
+      {"membership.seeds",
+       [&] {
+         json seeds = json::array();
+         for (const udp::endpoint& seed : member.seeds) seeds.push_back(plainAddress(seed));
+         return seeds.dump();
+       }},
+      {"membership.period_ms", [&] { return inMs(member.period); }},
       {"fleet.gateways", [&] { return std::to_string(s.groupSize); }},
       {"fleet.number", [&] { return std::to_string(s.number); }},
       {"fleet.zone", [&] { return quoted(s.zone); }},
@@ -308,6 +325,12 @@
       {"log.format", "/log/format", Holds::word, 0, 0, 1, {"text", "text", "json", "json"}},
       {"log.access", "/log/access", Holds::flag},
       {"log.most_per_s", "/log/mostPerSecond", Holds::whole, 0, 1000000},
+      {"membership.listen", "/membership/listen", Holds::endpoint},
+      {"membership.advertise", "/membership/advertise", Holds::endpoint},
+      {"membership.fleet", "/membership/fleet", Holds::text},
+      {"membership.region", "/membership/region", Holds::text},
+      {"membership.seeds", "/membership/seeds", Holds::texts},
+      {"membership.period_ms", "/membership/periodNs", Holds::whole, 10, 60000, kMs},
       {"fleet.gateways", "/settings/groupSize", Holds::whole, 1, kMostWhole},
       {"fleet.number", "/settings/myNumber", Holds::whole, 0, kMostWhole},
       {"fleet.zone", "/settings/zone", Holds::text},
--- a/src/net/management.cpp
+++ b/src/net/management.cpp
@@ -68,13 +68,20 @@
     const auto target = call.target().substr(0, call.target().find('?'));
     const bool readiness = target == "/ops/readiness";
     const bool metrics = target == "/metrics";
-    if (!readiness && !metrics && target != "/ops/stats")
+    std::string fleet;
+    if (target == "/ops/fleet" && owner_->callbacks_.fleet) fleet = owner_->callbacks_.fleet();
+    if (!readiness && !metrics && fleet.empty() && target != "/ops/stats")
       return text(http::status::not_found, "no such call\n");
     if (call.method() != http::verb::get) {
       Answer answer = text(http::status::method_not_allowed, "only GET\n");
       answer.set(http::field::allow, "GET");
       return answer;
     }
+    if (!fleet.empty()) {
+      Answer answer = text(http::status::ok, std::move(fleet));
+      answer.set(http::field::content_type, "application/json");
+      return answer;
+    }
     if (metrics) {
       Answer answer = text(http::status::ok, owner_->callbacks_.metrics());
       answer.set(http::field::content_type, "text/plain; version=0.0.4; charset=utf-8");
--- a/src/net/management.hpp
+++ b/src/net/management.hpp
@@ -19,6 +19,7 @@
   struct Callbacks {
     std::function<bool()> ready;
     std::function<std::string()> stats, metrics;
+    std::function<std::string()> fleet = {};  // its text is empty while that part is off
   };
 
   // Listens at once. Throws boost::system::system_error.
--- a/src/net/statistics.cpp
+++ b/src/net/statistics.cpp
@@ -67,9 +67,9 @@
   return text;
 }
 
-std::string Statistics::metrics(const Gauges& gauges) const {
+std::string Statistics::metrics(const Gauges& gauges, std::vector<prometheus::MetricFamily> more) const {
   using prometheus::MetricType;
-  std::vector<prometheus::MetricFamily> families;
+  std::vector<prometheus::MetricFamily>& families = more;
   auto requests = family("requests_total", "Requests answered, by class and outcome.", MetricType::Counter);
   auto times =
       family("request_seconds", "From a request's last byte to its answer's last.", MetricType::Histogram);
--- a/src/net/statistics.hpp
+++ b/src/net/statistics.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <prometheus/histogram.h>
+#include <prometheus/metric_family.h>
 
 #include <array>
 #include <chrono>
@@ -39,8 +40,9 @@
   void answered(std::size_t cls, End end, std::optional<std::chrono::nanoseconds> took);
   void reconfigured(bool taken) { ++(taken ? reconfigOk_ : reconfigFailed_); }
 
-  std::string render(const Gauges& gauges) const;   // a line app.NAME[.CLASS]=N for each
-  std::string metrics(const Gauges& gauges) const;  // the same and the times, as Prometheus text
+  std::string render(const Gauges& gauges) const;  // a line app.NAME[.CLASS]=N for each
+  // The same and the times, as Prometheus text, with what other parts have to show.
+  std::string metrics(const Gauges& gauges, std::vector<prometheus::MetricFamily> more = {}) const;
 
  private:
   struct Class {
