--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -109,6 +109,8 @@
     if (m.record.state == State::suspect)
       wakeAt_ = std::min(
           wakeAt_, m.suspectSince + scaled(suspicion(settings_.period, present_ + 1, m.accusers.size())));
+  // Danger: a suspicion that a further witness shortens may be over already; that makes nobody late.
+  wakeAt_ = std::max(wakeAt_, now_);
 }
 
 void Membership::onWake(Time now) {
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -16,8 +16,11 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
+#include <nlohmann/json.hpp>
+#include <set>
 #include <stdexcept>
 
+#include "lab/relay.hpp"
 #include "lab/report.hpp"
 
 namespace hollyrun::lab {
@@ -33,6 +36,7 @@
 constexpr double kLagMostMs = 250;
 constexpr auto kLagLook = std::chrono::milliseconds(10);
 constexpr std::size_t kLinesMost = 20000;
+constexpr std::size_t kSeeds = 3;
 constexpr int kStartsMost = 3;  // a port may be taken between its choice and its use
 
 // A process of the program. Its standard error is read line by line; it dies with the rig.
@@ -101,6 +105,7 @@
   fs::path config, tmp;
   std::shared_ptr<Process> process;
   int starts = 0;
+  bool held = false;  // by SIGSTOP
 };
 
 class Rig {
@@ -112,7 +117,8 @@
         platform_(io_, scenario, plan.seed, &witness_),
         signals_(io_, SIGINT, SIGTERM),
         children_(io_, SIGCHLD),
-        lag_(io_) {
+        lag_(io_),
+        relay_(io_, plan.seed) {
     for (const Trouble& t : scenario.troubles)
       if (t.kind != "surge")
         throw std::runtime_error(t.place + ": trouble '" + t.kind +
@@ -149,6 +155,7 @@
       m.tmp = dir_ / (m.name + ".tmp");
       m.config = dir_ / (m.name + ".toml");
       fs::create_directories(m.tmp);
+      if (s_.membershipPeriodMs > 0) relay_.add();
       targets.push_back({m.name, m.port.endpoint(), i % static_cast<std::uint32_t>(s_.zones.size()), true});
     }
     load_ = std::make_unique<Load>(io_, s_, plan_.seed, LoadPlan{plan_.rate, s_.lengthS, {}},
@@ -193,7 +200,18 @@
   }
   std::string configFor(const Member& m) const {
     return configOf(s_, day_, m.number, static_cast<std::uint32_t>(members_.size()),
-                    textOf(m.port.endpoint()), textOf(m.discovery), textOf(m.management->endpoint()));
+                    textOf(m.port.endpoint()), textOf(m.discovery), textOf(m.management->endpoint()),
+                    membershipOf(m));
+  }
+  // The first three are seeds: one of them is there in all but the worst of faults.
+  std::string membershipOf(const Member& m) const {
+    if (s_.membershipPeriodMs <= 0) return {};
+    std::string seeds;
+    for (std::size_t i = 0; i < std::min(kSeeds, members_.size()); ++i)
+      seeds += fmt::format("{}\"{}\"", i ? ", " : "", textOf(relay_.advertised(i)));
+    return fmt::format("[membership]\nlisten = \"{}\"\nadvertise = \"{}\"\nseeds = [{}]\nperiod_ms = {}\n\n",
+                       textOf(relay_.listen(m.number)), textOf(relay_.advertised(m.number)), seeds,
+                       static_cast<int>(s_.membershipPeriodMs));
   }
   std::shared_ptr<Process> spawn(Member& m) {
     m.management = std::make_unique<HeldPort>(io_);
@@ -289,9 +307,11 @@
     for (const auto& m : members_)
       if (!m->process->ready) return;
     note("all are ready, clients come");
+    watchViews();
     watchLag(clockNow() + kLagLook);
     load_->start([this] { end(); });
     for (const Fault& f : s_.faults) later(f.atS, [this, &f] { befall(f); });
+    later(s_.lengthS - 0.1, [this] { lastLook(); });
     // Danger: a load that never settles would keep the rig; past every deadline nothing is open.
     later(s_.lengthS + day_.longest + 3, [this] { end(); });
   }
@@ -324,8 +344,89 @@
     });
   }
 
+  // --- Views of the fleet ---
+
+  // From a fault or its end on, all that are there have to see each other, and nobody else, in time.
+  void watchViews() {
+    if (s_.expectAgreeS <= 0 || stopping_) return;
+    const int watch = ++viewWatch_;
+    lookAtViews(watch, clockNow(), clockNow() + seconds(s_.expectAgreeS));
+  }
+  void lookAtViews(int watch, Time from, Time most) {
+    if (stopping_ || watch != viewWatch_) return;
+    auto views = std::make_shared<std::map<std::string, std::string>>();
+    auto waited = std::make_shared<std::size_t>(members_.size());
+    for (const auto& m : members_)
+      ask(io_, m->management->endpoint(), "/ops/fleet", std::chrono::milliseconds(500),
+          [this, watch, from, most, views, waited, name = m->name](int status, const std::string& body) {
+            if (status == 200) (*views)[name] = body;
+            if (--*waited == 0) judgeViews(watch, from, most, *views);
+          });
+  }
+  void judgeViews(int watch, Time from, Time most, const std::map<std::string, std::string>& views) {
+    if (stopping_ || watch != viewWatch_) return;
+    std::string why;
+    std::set<std::string> digests, there;
+    for (const auto& m : members_)
+      if (!m->process->ended && !m->held) there.insert(m->name);
+    for (const std::string& name : there) {
+      const auto it = views.find(name);
+      const auto view = nlohmann::json::parse(it == views.end() ? "" : it->second, nullptr, false);
+      if (view.is_discarded()) {
+        why = name + " tells nothing of its fleet";
+        continue;
+      }
+      digests.insert(view.value("view", std::string()));
+      std::set<std::string> sees;
+      for (const auto& one : view.value("members", nlohmann::json::array())) {
+        const std::string state = one.value("state", std::string());
+        if (state != "dead" && state != "left") sees.insert(one.value("name", std::string()));
+      }
+      if (sees != there) why = fmt::format("{} sees {} of {}", name, sees.size(), there.size());
+    }
+    if (why.empty() && digests.size() > 1) why = fmt::format("{} different views", digests.size());
+    if (why.empty()) {
+      viewsAgree_ = true;
+      return note(fmt::format("all {} see the same fleet, {:.2f} s after the last fault", there.size(),
+                              inSeconds(clockNow() - from)));
+    }
+    viewsAgree_ = false;
+    if (clockNow() > most)
+      return breach(Rule::check,
+                    fmt::format("views differ {:.1f} s after the last fault: {}", s_.expectAgreeS, why));
+    later(0.05, [this, watch, from, most] { lookAtViews(watch, from, most); });
+  }
+  // Danger: a scenario that ends within the time that the views have would pass whatever they show.
+  void lastLook() {
+    if (s_.expectAgreeS > 0 && !stopping_ && !viewsAgree_)
+      breach(Rule::check, "the day ends before the views agree");
+  }
+
   // --- Faults ---
 
+  // Datagrams of these members, or of all, with others: `size` is a share, or milliseconds of delay.
+  void network(const Fault& f, bool on) {
+    std::set<std::size_t> of;
+    for (const std::size_t g : gatewaysOf(f)) of.insert(g);
+    for (std::size_t a = 0; a < members_.size(); ++a)
+      for (std::size_t b = 0; b < members_.size(); ++b) {
+        if (a == b) continue;
+        const bool from = of.count(a) > 0, to = of.count(b) > 0;
+        if (f.kind == "net_mute" && from) relay_.cut(a, b, on);
+        else if (f.kind == "net_deaf" && to) relay_.cut(a, b, on);
+        else if (f.kind == "net_split" && from != to) relay_.cut(a, b, on);
+        if (!(from || to) || f.kind == "net_mute" || f.kind == "net_deaf" || f.kind == "net_split") continue;
+        Weather w;
+        w.leastMs = w.mostMs = 0;
+        if (on && f.kind == "net_loss") w.loss = f.size;
+        if (on && f.kind == "net_copies") w.copies = f.size;
+        if (on && f.kind == "net_spoils") w.spoils = f.size;
+        if (on && f.kind == "net_delay")
+          w.mostMs = f.size;  // drawn from none to that: they overtake each other
+        relay_.set(a, b, w);
+      }
+  }
+
   std::vector<std::size_t> gatewaysOf(const Fault& f) const {
     if (!f.gateways.empty()) return f.gateways;
     std::vector<std::size_t> all;
@@ -346,22 +447,33 @@
     for (std::size_t g : f.gateways) whom += " gateway-" + std::to_string(g);
     for (std::size_t i : f.servers) whom += " server " + std::to_string(i);
     note("FAULT " + f.kind + whom);
+    // Under these views may differ; they have to agree once it is over.
+    ++viewWatch_;
+    viewsAgree_ = s_.expectAgreeS <= 0;
+    if (f.lengthS <= 0 || f.kind == "kill" || f.kind == "term") watchViews();
     const auto undo = [this, &f](std::function<void()> call) {
       later(f.lengthS, [this, &f, call] {
         if (stopping_) return;
         note("FAULT " + f.kind + " ends");
         call();
+        watchViews();
       });
     };
+    if (f.kind.starts_with("net_")) {
+      network(f, true);
+      return undo([this, &f] { network(f, false); });
+    }
     for (std::size_t g : gatewaysOf(f)) {
       Member& m = *members_[g];
       if (f.kind == "kill") killed(m, f);
       else if (f.kind == "term") terminated(m, f);
       else if (f.kind == "stop") {
         m.process->send(SIGSTOP);
+        m.held = true;
         load_->heldUp(m.number, true);
         undo([this, &m] {
           m.process->send(SIGCONT);
+          m.held = false;
           load_->heldUp(m.number, false);
         });
       } else if (f.kind == "upgrade") upgraded(m);
@@ -411,7 +523,10 @@
   }
   void back(Member& m) {
     if (stopping_) return;
-    start(m, [this, &m] { load_->target(m.number).known = true; });
+    start(m, [this, &m] {
+      load_->target(m.number).known = true;
+      watchViews();
+    });
   }
   void terminated(Member& m, const Fault& f) {
     m.process->asked = true;
@@ -425,9 +540,10 @@
     m.process->over = [this, p = m.process.get()] {
       if (!p->asked && !stopping_) crashed(*p);
     };
-    awaitReady(m, m.process, clockNow() + kReadyMost, [old] {
+    awaitReady(m, m.process, clockNow() + kReadyMost, [this, old] {
       old->asked = true;
       old->send(SIGTERM);
+      watchViews();
     });
   }
   void hangUp(Member& m, const Fault& f) {
@@ -489,6 +605,9 @@
   std::unique_ptr<Load> load_;
   asio::signal_set signals_, children_;
   asio::steady_timer lag_;
+  Relay relay_;
+  int viewWatch_ = 0;
+  bool viewsAgree_ = true;
   fs::path dir_;
   bool ownDir_ = false, stopping_ = false, interrupted_ = false;
   std::vector<std::unique_ptr<Member>> members_;
@@ -510,16 +629,17 @@
 }  // namespace
 
 std::string configOf(const Scenario& s, const DrawnDay& day, std::uint32_t number, std::uint32_t gateways,
-                     const std::string& listen, const std::string& discovery, const std::string& management) {
+                     const std::string& listen, const std::string& discovery, const std::string& management,
+                     const std::string& membership) {
   const auto ms = [](Duration d) { return std::chrono::duration_cast<std::chrono::milliseconds>(d).count(); };
   std::string text = fmt::format(
       "name = \"gateway-{}\"\nlisten = \"{}\"\ndiscovery = \"{}\"\nmanagement = \"{}\"\nseed = \"{:x}\"\n\n"
-      "[limits]\nmemory_mb = 64\nsockets = 1024\n\n"
+      "[limits]\nmemory_mb = 64\nsockets = 1024\n\n{}"
       "[fleet]\ngateways = {}\nnumber = {}\nzone = \"{}\"\nwarm_keys = {}\n\n"
       "[attempts]\nmost = {}\nsecond_copies = {}\ncancel = {}\nconnect_timeout_ms = {}\n"
       "idle_close_ms = {}\n\n[answers]\nretry_after = {}\nmax_retry_after_ms = {}\n\n"
       "[rules]\nask_within_ms = 10000\ncold_ms = {}\ncold_share = {}\nfall_multiple = {:.3f}\nfall_ms = {}\n",
-      number, listen, discovery, management, 0x5eed0000 + number, gateways, number,
+      number, listen, discovery, management, 0x5eed0000 + number, membership, gateways, number,
       s.zones[number % s.zones.size()], s.warmKeys, s.maxAttempts, s.secondCopies, s.cancel,
       static_cast<int>(s.connectTimeoutMs), static_cast<int>(s.idleS * 1000), s.retryAfter,
       static_cast<int>(s.maxRetryAfterMs), static_cast<int>(s.coldRuleS * 1000), s.coldShare, s.fallMultiple,
--- a/src/lab/fleet.hpp
+++ b/src/lab/fleet.hpp
@@ -35,10 +35,10 @@
   double memoryMb = 0;            ///< the most that one of them held
 };
 
-/// The TOML that a gateway of this scenario is started with.
+/// The TOML that a gateway of this scenario is started with; `membership` is that section's text.
 std::string configOf(const Scenario& scenario, const DrawnDay& day, std::uint32_t number,
                      std::uint32_t gateways, const std::string& listen, const std::string& discovery,
-                     const std::string& management);
+                     const std::string& management, const std::string& membership = {});
 
 /// Plays the scenario; it ends by itself, and every process that it started has ended with it. Throws
 /// std::runtime_error if the program cannot be started at all.
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -236,8 +236,26 @@
   Section in(table, "fault[" + std::to_string(at) + "].", faults);
   Fault f;
   in.text("kind", f.kind,
-          {"kill", "term", "stop", "upgrade", "hup", "slow", "jam", "lost", "cut", "drain",
-           "discovery_silent", "discovery_late", "discovery_split"});
+          {"kill",
+           "term",
+           "stop",
+           "upgrade",
+           "hup",
+           "slow",
+           "jam",
+           "lost",
+           "cut",
+           "drain",
+           "discovery_silent",
+           "discovery_late",
+           "discovery_split",
+           "net_loss",
+           "net_delay",
+           "net_copies",
+           "net_spoils",
+           "net_mute",
+           "net_deaf",
+           "net_split"});
   if (!table->contains("kind")) in.fault(table, "kind", "is missing");
   in.number("at_s", f.atS, 0, 3600);
   in.number("length_s", f.lengthS, 0, 3600);
@@ -365,7 +383,11 @@
   list("class", s.classes, readClass);
   list("trouble", s.troubles, readTrouble);
   list("fault", s.faults, readFault);
-  section("expect", [&](Section& in) { in.number("goodput", s.expectGoodput, 0, 1); });
+  section("membership", [&](Section& in) { in.number("period_ms", s.membershipPeriodMs, 10, 60000); });
+  section("expect", [&](Section& in) {
+    in.number("goodput", s.expectGoodput, 0, 1);
+    in.number("agree_s", s.expectAgreeS, 0, 3600);
+  });
   top.done();
 }
 
@@ -408,6 +430,8 @@
     };
     if (!f.zone.empty() && std::find(s.zones.begin(), s.zones.end(), f.zone) == s.zones.end())
       fault("zone", "'" + f.zone + "' is none of fleet.zones");
+    if (f.kind.starts_with("net_") && s.membershipPeriodMs == 0)
+      fault("kind", "the processes send no datagrams: membership.period_ms is not set");
     for (std::size_t g : f.gateways)
       if (static_cast<double>(g) >= s.gateways.low) fault("gateways", std::to_string(g) + " is none of them");
     for (std::size_t server : f.servers)
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -101,8 +101,11 @@
   std::vector<RequestClass> classes;
   std::vector<Trouble> troubles;
 
-  std::vector<Fault> faults;  // of `fleet` alone
-  double expectGoodput = 0;   // of `fleet`: less is a failed check
+  std::vector<Fault> faults;      // of `fleet` alone
+  double expectGoodput = 0;       // of `fleet`: less is a failed check
+  double membershipPeriodMs = 0;  // of `fleet`: the processes are members of one fleet; 0: they are not
+  double expectAgreeS =
+      0;  // so long after the last fault or its end all have to see the same fleet; 0: unchecked
 };
 
 /// What is wrong with a scenario; a line for each fault, `file:line: key: what`.
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -187,6 +187,7 @@
   for (std::size_t i = 0; i < members; ++i) EXPECT_EQ(f.at(i).holders(), members);
   f.passes = [](std::size_t, std::size_t) { return true; };
   EXPECT_TRUE(f.agreeWithin(kHealPeriods)) << members << " in " << parts << ", seed " << seed;
+  EXPECT_EQ(f.count(Event::Kind::stalled), 0u) << "nobody was held up, seed " << seed;
   f.seen().clear();
   f.runFor(f.periods(100));
   EXPECT_EQ(f.count(Event::Kind::died), 0u) << "no echo of the cut, seed " << seed;
