--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -352,7 +352,8 @@
   switch (m->type) {
     case Type::ping:
       heard(*m, from, false);
-      send(from, Type::ack, m->nonce, m->self.name);
+      // Danger: what a former life of that name knew, or a rival at its address, this one may not.
+      send(from, frame(Type::ack, m->nonce), true, m->self.name, !lives(m->self));
       break;
     case Type::pingFor: {
       heard(*m, from, false);
@@ -620,6 +621,11 @@
 
 // --- What is said -------------------------------------------------------------------------------------
 
+bool Membership::lives(const Record& who) const {
+  const auto it = others_.find(who.name);
+  return it != others_.end() && it->second.record.epoch == who.epoch;
+}
+
 const Record* Membership::recordOf(const std::string& name) const {
   if (name == self_.name) return &self_;
   const auto it = others_.find(name);
@@ -646,19 +652,32 @@
   send(to, frame(type, nonce), true, first);
 }
 
-void Membership::send(const Address& to, Message m, bool withNews, const std::string& first) {
+void Membership::send(const Address& to, Message m, bool withNews, const std::string& first, bool stranger) {
   m.sequence = ++sequence_;
   if (withNews) {
     // What the receiver has to hear comes first, then what was told least, then the latest.
     const Record* about = first.empty() ? nullptr : recordOf(first);
-    if (about) m.news.push_back(*about);
+    const auto known = others_.find(first);
+    // One whose view is ours knows all but suspicions.
+    const bool agrees = (m.type == Type::ping || m.type == Type::ack) && known != others_.end() &&
+                        known->second.record.address == to && known->second.heard > Time{} &&
+                        known->second.digest == digest() && !stranger;
+    if (about && (!agrees || about->state != State::alive)) m.news.push_back(*about);
     std::vector<std::pair<std::tuple<unsigned, std::uint64_t>, const std::string*>> told;
-    for (const auto& [name, n] : news_)
-      if (name != self_.name && name != first) told.push_back({{n.told, ~n.added}, &name});
+    for (auto it = news_.begin(); it != news_.end();) {
+      auto& [name, n] = *it;
+      const Record* r = recordOf(name);
+      if (!r || (agrees && r->state != State::suspect && ++n.told >= tellings())) {
+        it = news_.erase(it);
+        continue;
+      }
+      ++it;
+      if (name != self_.name && name != first && !(agrees && r->state != State::suspect))
+        told.push_back({{n.told, ~n.added}, &name});
+    }
     const std::size_t most = std::min(kCandidates, told.size());
     std::partial_sort(told.begin(), told.begin() + static_cast<std::ptrdiff_t>(most), told.end());
-    for (std::size_t i = 0; i < most; ++i)
-      if (const Record* r = recordOf(*told[i].second)) m.news.push_back(*r);
+    for (std::size_t i = 0; i < most; ++i) m.news.push_back(*recordOf(*told[i].second));
   }
   std::size_t took = 0;
   std::string bytes = encode(m, settings_.fleet, took);
@@ -666,8 +685,6 @@
     for (std::size_t i = 0; i < took; ++i)
       if (const auto it = news_.find(m.news[i].name); it != news_.end() && ++it->second.told >= tellings())
         news_.erase(it);
-  if (withNews)  // what was forgotten meanwhile
-    std::erase_if(news_, [&](const auto& n) { return !recordOf(n.first); });
   ++counters_.sent;
   counters_.bytesOut += bytes.size();
   datagrams_.push_back({to, std::move(bytes)});
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -143,7 +143,8 @@
   void compareViews(const std::string& name, const Address& at, std::uint64_t digest);
   std::uint64_t ask(const std::string& target, const Address& at, Duration wait, bool probe);
   void send(const Address& to, Type type, std::uint64_t nonce, const std::string& first = {});
-  void send(const Address& to, Message m, bool withNews, const std::string& first);
+  void send(const Address& to, Message m, bool withNews, const std::string& first, bool stranger = false);
+  bool lives(const Record& who) const;
   Message frame(Type type, std::uint64_t nonce) const;
   const Record* recordOf(const std::string& name) const;
   unsigned tellings() const;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -14,8 +14,10 @@
 #include <map>
 
 #include "lab/experiment.hpp"
+#include "lab/explore.hpp"
 #include "lab/fleet.hpp"
 #include "lab/load.hpp"
+#include "lab/members.hpp"
 #include "lab/platform.hpp"
 #include "lab/report.hpp"
 #include "lab/scenario.hpp"
@@ -37,6 +39,10 @@
   std::vector<std::string> to;
   double rate = 0, seconds = 0;
   std::uint64_t seed = 1;
+  std::vector<std::size_t> sizes{3, 30, 300};
+  std::vector<double> losses{0, 0.05, 0.3};
+  std::size_t kills = 20;
+  unsigned depth = 0, crashes = 1;
 };
 
 // An arm of a comparison: `policy`, `policy,key=value,...`, or `@label` of a file of results.
@@ -381,6 +387,23 @@
   return kBroken;
 }
 
+int members(const Options& o) {
+  if (o.depth > 0) {
+    const Explored e = exploreMembers(o.depth, o.crashes, 50);
+    fmt::print(
+        "three members, {} steps deep, {} crashes: {} states, {} steps, {} of the states played on until all "
+        "agreed\n",
+        o.depth, o.crashes, e.states, e.steps, e.healed);
+    for (const std::string& what : e.broken) fmt::print("{}\n", what);
+    return e.broken.empty() ? 0 : kBroken;
+  }
+  std::vector<MembersRow> rows;
+  for (const std::size_t n : o.sizes)
+    for (const double loss : o.losses) rows.push_back(measureMembers(n, loss, o.kills, o.seed));
+  fmt::print("{}", textOf(rows));
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -457,6 +480,15 @@
                      "an existing folder for the processes' files; none: one that goes again");
   fleets->add_option("--out", o.out, "HTML page to write");
   fleets->add_flag("--log", o.log, "print the time line, too");
+  CLI::App* all =
+      add("members", "the fleet's membership in virtual time: a table of times and cost", members);
+  all->add_option("--members", o.sizes, "numbers of members")->check(CLI::Range(2, 1000));
+  all->add_option("--loss", o.losses, "shares of datagrams that get lost")->check(CLI::Range(0.0, 0.9));
+  all->add_option("--kills", o.kills, "members killed and started again for each row")->capture_default_str();
+  all->add_option("--seed", o.seed, "of all that is drawn")->capture_default_str();
+  all->add_option("--explore", o.depth, "instead: three members through every schedule of so many steps")
+      ->check(CLI::Range(1, 12));
+  all->add_option("--crashes", o.crashes, "with it: the most on a way")->capture_default_str();
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -383,7 +383,10 @@
   list("class", s.classes, readClass);
   list("trouble", s.troubles, readTrouble);
   list("fault", s.faults, readFault);
-  section("membership", [&](Section& in) { in.number("period_ms", s.membershipPeriodMs, 10, 60000); });
+  section("membership", [&](Section& in) {
+    in.number("period_ms", s.membershipPeriodMs, 0, 60000);
+    in.number("configured_gateways", s.configuredGateways, 0, 100000);
+  });
   section("expect", [&](Section& in) {
     in.number("goodput", s.expectGoodput, 0, 1);
     in.number("agree_s", s.expectAgreeS, 0, 3600);
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -103,7 +103,8 @@
 
   std::vector<Fault> faults;      // of `fleet` alone
   double expectGoodput = 0;       // of `fleet`: less is a failed check
-  double membershipPeriodMs = 0;  // of `fleet`: the processes are members of one fleet; 0: they are not
+  double membershipPeriodMs = 0;  // the gateways are members of one fleet; 0: they are not
+  double configuredGateways = 0;  // what they are told of their number; 0: the truth
   double expectAgreeS =
       0;  // so long after the last fault or its end all have to see the same fleet; 0: unchecked
 };
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -10,6 +10,7 @@
 #include <stdexcept>
 #include <unordered_map>
 
+#include "fleet/membership.hpp"
 #include "lab/draw.hpp"
 #include "lab/latencies.hpp"
 
@@ -94,6 +95,9 @@
   std::vector<Time> toldStart;          // by server: the start that it was told
   Time lastTold{};
   double weight = 1;
+  std::uint32_t groupSize = 0;  // as its module has it
+  std::optional<fleet::Membership> member;
+  Time memberWake = Time::max();
 };
 
 struct Machine {
@@ -121,6 +125,7 @@
         network_(seed, "network"),
         notices_(seed, "notices"),
         trouble_(seed, "trouble"),
+        between_(seed, "between"),
         checker_({millis(s_.answerSlackMs), millis(s_.drainGraceMs), s_.secondCopies, {}}) {}
 
   Result play() {
@@ -228,7 +233,8 @@
     const auto count = static_cast<std::uint32_t>(std::lround(s_.gateways.draw(fleet)));
     const double spread = s_.startSpreadMs.draw(fleet);
     settings_ = moduleSettings(s_, d_);
-    settings_.groupSize = count;
+    settings_.groupSize =
+        s_.configuredGateways > 0 ? static_cast<std::uint32_t>(s_.configuredGateways) : count;
     gateways_.resize(count);
     for (std::uint32_t g = 0; g < count; ++g) {
       gateways_[g].name = "gateway-" + std::to_string(g);
@@ -311,16 +317,74 @@
 
   Settings settingsOf(std::uint32_t g) {
     Settings set = settings_;
-    set.number = g;
+    if (gateways_[g].member)
+      set.groupSize = std::max(set.groupSize, static_cast<std::uint32_t>(gateways_[g].member->holders()));
+    set.number = std::min(g, set.groupSize - 1);
     set.seed = Stream(seed_, "seed", static_cast<std::uint64_t>(g) * 64 + gateways_[g].life).engine()();
     set.zone = s_.zones[gateways_[g].zone];
     return set;
   }
 
+  // --- The gateways among themselves ---
+
+  static fleet::Address addressOf(std::uint32_t g) {
+    return {0x7f000001 + (g >> 14), static_cast<std::uint16_t>(1 + (g & 0x3fff))};
+  }
+
+  void startMember(std::uint32_t g) {
+    if (s_.membershipPeriodMs <= 0) return;
+    Gateway& w = gateways_[g];
+    fleet::MembershipSettings set;
+    set.period = millis(s_.membershipPeriodMs);
+    for (std::uint32_t i = 0; i < std::min<std::size_t>(3, gateways_.size()); ++i)
+      set.seeds.push_back(addressOf(i));
+    fleet::Record self;
+    self.name = w.name;
+    self.address = addressOf(g);
+    self.zone = s_.zones[w.zone];
+    w.member.emplace(set, self,
+                     Stream(seed_, "member", static_cast<std::uint64_t>(g) * 64 + w.life).engine()(), now_);
+    w.memberWake = Time::max();
+    settleMember(g);
+  }
+
+  // Sends what the member wants to say, wakes it when it asks for it, and gives the module a new size.
+  void settleMember(std::uint32_t g) {
+    Gateway& w = gateways_[g];
+    for (fleet::Datagram& d : std::exchange(w.member->datagrams(), {})) {
+      const std::uint32_t to = (d.to.ip - 0x7f000001) << 14 | (d.to.port - 1u);
+      if (to >= gateways_.size() ||
+          (w.zone != gateways_[to].zone && (cut(w.zone) || cut(gateways_[to].zone))))
+        continue;
+      const Range& way = w.zone == gateways_[to].zone ? s_.sameMs : s_.crossMs;
+      at(now_ + millis(way.draw(between_) / 2), [this, g, to, bytes = std::move(d.bytes)] {
+        if (!gateways_[to].member) return;
+        gateways_[to].member->onDatagram(now_, addressOf(g), bytes);
+        settleMember(to);
+      });
+    }
+    w.member->events().clear();
+    if (w.policy && settingsOf(g).groupSize != w.groupSize) {
+      w.groupSize = settingsOf(g).groupSize;
+      w.policy->onSettings(now_, settingsOf(g));
+      carryOut(g);
+    }
+    if (w.member->wakeAt() >= w.memberWake) return;
+    w.memberWake = w.member->wakeAt();
+    at(w.memberWake, [this, g, life = w.life] {
+      Gateway& later = gateways_[g];
+      if (!later.member || later.life != life) return;
+      later.memberWake = Time::max();
+      later.member->onWake(now_);
+      settleMember(g);
+    });
+  }
+
   void startGateway(std::uint32_t g, bool first) {
     Gateway& w = gateways_[g];
     ++w.life;
     w.up = w.known = true;
+    w.groupSize = settingsOf(g).groupSize;
     w.policy = maker_(settingsOf(g), now_, *this);
     w.serverOf.clear();
     w.pools.assign(machines_.size(), Pool{});
@@ -341,6 +405,7 @@
     }
     w.policy->onHosts(now_, ListKind::restored, entries);
     carryOut(g);
+    startMember(g);
     at(now_ + std::chrono::milliseconds(20), [this, g, life = w.life] {
       if (gateways_[g].life == life && gateways_[g].up) tellAll(g);
     });
@@ -365,6 +430,7 @@
       if (w.pools[m].epoch == machines_[m].epoch) lower(machines_[m], w.pools[m].idle.size());
     w.pools.clear();
     w.policy.reset();
+    w.member.reset();
   }
 
   static void lower(Machine& m, std::size_t connections) {
@@ -832,7 +898,7 @@
            [this, zone] { note("zone " + s_.zones[zone] + " cut off"), cutZone_ = zone; });
         at(kStart + secs(to), [this] { note("cut ends"), cutZone_ = kNobody; });
       } else if (t.kind == "kill") {
-        std::vector<std::uint32_t> all(static_cast<std::size_t>(settings_.groupSize));
+        std::vector<std::uint32_t> all(gateways_.size());
         for (std::uint32_t i = 0; i < all.size(); ++i) all[i] = i;
         const double notice = s_.frontNoticeS.draw(trouble_);
         for (std::uint32_t g : some(part, all)) {
@@ -1067,7 +1133,7 @@
   const PolicyMaker& maker_;
   DrawnDay d_;
   DrawnFleet fleet_;
-  Stream network_, notices_, trouble_;
+  Stream network_, notices_, trouble_, between_;
   Checker checker_;
   Result result_;
   Time now_{};
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -107,6 +107,31 @@
   EXPECT_EQ(f.verdict, Verdict::pass) << "held up by the rig, it owes nothing: " << textOf(f);
 }
 
+const char* const kMembers =
+    "[day]\nlength_s = 5\n[fleet]\ngateways = 3\nservers = 6\nzones = [\"a\"]\n[load]\nlevel = 0.2\n[choke]\n"
+    "share = 0\n[membership]\nperiod_ms = 100\n[expect]\nagree_s = 3\n";
+
+TEST(FleetTest, ThreeMembersAgreeAgainAfterOneWasNotHeardAndOneHeardNobody) {
+  const FleetResult f =
+      play(scenarioOf(std::string(kMembers) +
+                      "[[fault]]\nkind = \"net_mute\"\nat_s = 0.2\nlength_s = 1\ngateways = [0]\n"
+                      "[[fault]]\nkind = \"net_deaf\"\nat_s = 0.4\nlength_s = 1\ngateways = [1]\n"
+                      "[[fault]]\nkind = \"net_copies\"\nat_s = 0\nlength_s = 4\nsize = 0.5\n"),
+           "hollyrun");
+  EXPECT_EQ(f.verdict, Verdict::pass) << textOf(f);
+}
+
+TEST(FleetTest, ViewsThatStillDifferAreCaught) {
+  // The cut lasts until the day is over.
+  const FleetResult f =
+      play(scenarioOf(std::string(kMembers) +
+                      "[[fault]]\nkind = \"net_split\"\nat_s = 1\nlength_s = 9\ngateways = [0]\n"),
+           "hollyrun");
+  EXPECT_EQ(f.verdict, Verdict::fail);
+  EXPECT_EQ(count(f, Rule::check), 1u) << textOf(f);
+  EXPECT_EQ(f.result.breaches.size(), 1u) << textOf(f);
+}
+
 TEST(FleetTest, AProgramThatIsNotThereIsSaid) {
   EXPECT_THROW(playFleet(scenarioOf(kSmall), {"/nonexistent/hollyrun", {}, 1, 0}), std::runtime_error);
 }
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <numeric>
 
+#include "lab/explore.hpp"
 #include "lab/members.hpp"
 
 namespace hollyrun::lab {
@@ -470,6 +471,17 @@
   EXPECT_EQ(why, Bad::otherVersion);
 }
 
+// --- Every schedule -----------------------------------------------------------------------------------
+
+TEST(MembershipExplored, ThreeMembersThroughEveryScheduleOfFiveSteps) {
+  const Explored e = exploreMembers(5, 1, 100);
+  for (const std::string& what : e.broken) ADD_FAILURE() << what;
+  EXPECT_GT(e.states, 10000u);
+  EXPECT_GT(e.healed, 100u);
+  std::printf("%llu states, %llu steps, %llu played on\n", static_cast<unsigned long long>(e.states),
+              static_cast<unsigned long long>(e.steps), static_cast<unsigned long long>(e.healed));
+}
+
 // --- Properties ---------------------------------------------------------------------------------------
 
 RC_GTEST_PROP(MembershipProperty, ClaimsMergeInAnyOrder, ()) {
