--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -471,6 +471,44 @@
   EXPECT_EQ(why, Bad::otherVersion);
 }
 
+// --- Bounds -------------------------------------------------------------------------------------------
+
+// The longest, in periods, that a living member that is connected was held dead by another.
+double longestHeldDead(std::size_t members, double loss, int periods, std::uint64_t seed) {
+  Weather w;
+  w.loss = loss;
+  Fleet f(members, seed, w);
+  f.runUntil([&] { return f.agreed(); }, f.periods(300));
+  std::map<std::pair<std::size_t, std::string>, int> held;
+  int longest = 0;
+  for (int i = 0; i < periods; ++i) {
+    f.runFor(f.periods(1));
+    std::map<std::pair<std::size_t, std::string>, int> now;
+    for (std::size_t at = 0; at < members; ++at)
+      for (const auto& [name, m] : f.at(at).others())
+        if (m.record.state == State::dead)
+          longest = std::max(longest, now[{at, name}] = held[{at, name}] + 1);
+    held = std::move(now);
+  }
+  return longest;
+}
+
+// Stated in docs/membership.md: up to 30 % loss, and at 60 %, where one answer in six comes through.
+constexpr double kHeldDeadPeriods = 20, kHeldDeadAtWorst = 100;
+
+TEST(MembershipBound, NoLivingConnectedMemberIsHeldDeadForLong) {
+  double longest = 0;
+  for (const std::size_t members : {3, 8, 20})
+    for (const double loss : {0.05, 0.3, 0.6})
+      for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+        const double held = longestHeldDead(members, loss, members > 10 ? 60 : 200, seed);
+        EXPECT_LE(held, loss > 0.3 ? kHeldDeadAtWorst : kHeldDeadPeriods)
+            << members << " members, loss " << loss << ", seed " << seed;
+        longest = std::max(longest, held);
+      }
+  EXPECT_GT(longest, 0) << "at 60 % loss some were held dead, else this shows nothing";
+}
+
 // --- Every schedule -----------------------------------------------------------------------------------
 
 TEST(MembershipExplored, ThreeMembersThroughEveryScheduleOfFiveSteps) {
