Membership: addresses other than IPv4 are turned down, a start before 1970 is said as 0

Read over: a record holds an IPv4 address, and one of another kind threw past the reading of the configuration, so a SIGHUP with it would have ended a gateway that serves. A wall clock set before 1970 made a record's start negative, which receivers drop as nonsense: such a member could never join.

Both are refused or clamped where they come in; each has a line in a test that fails without it.

--- a/src/fleet/message.cpp
+++ b/src/fleet/message.cpp
@@ -1,5 +1,6 @@
 #include "fleet/message.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <tuple>
 
@@ -27,8 +28,9 @@
   json j = json::array({static_cast<unsigned>(r.state), r.name, r.incarnation, r.epoch});
   if (r.state == State::suspect || r.state == State::dead) j.push_back(r.by);
   if (r.state == State::suspect || r.state == State::dead || r.state == State::left) return j;
-  for (json part : {json(r.address.ip), json(r.address.port), json(r.zone), json(r.region), json(r.version),
-                    json(r.settings), json(r.startedMs)})
+  for (json part :
+       {json(r.address.ip), json(r.address.port), json(r.zone), json(r.region), json(r.version),
+        json(r.settings), json(static_cast<std::uint64_t>(std::max<std::int64_t>(r.startedMs, 0)))})
     j.push_back(std::move(part));
   return j;
 }
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -194,7 +194,11 @@
 
 std::optional<MembershipConfig> readMembership(const json& config, const Environment& environment) {
   const json& part = cairnjunction::part(config, "membership");
-  const auto endpoint = [](const tcp::endpoint& e) { return udp::endpoint(e.address(), e.port()); };
+  // Danger: a record holds an IPv4 address; another kind would end a gateway that serves, at SIGHUP.
+  const auto endpoint = [](const tcp::endpoint& e) {
+    if (!e.address().is_v4()) throw BadConfig("membership: only IPv4 addresses");
+    return udp::endpoint(e.address(), e.port());
+  };
   const auto listen = endpointIfTold(part, "listen", "GW_MEMBERSHIP", environment);
   if (!listen) return std::nullopt;
   MembershipConfig m;
--- a/tests/fleet_link_test.cpp
+++ b/tests/fleet_link_test.cpp
@@ -164,6 +164,8 @@
   }
   json c = memberConfig(std::string(10000, 'x'), {});
   EXPECT_THROW(parsed(c), BadConfig);
+  c = memberConfig("one", {"[::1]:5"});  // a record holds IPv4
+  EXPECT_THROW(parsed(c), BadConfig);
   c = memberConfig("one", {"nowhere"});
   EXPECT_THROW(parsed(c), BadConfig);
   c = memberConfig("", {});
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -430,9 +430,14 @@
   // one.
   Fleet f(3);
   ASSERT_TRUE(f.agreeWithin(10));
-  for (const std::int64_t step : {std::int64_t{0}, std::int64_t{4102444800000}}) {
+  for (const std::int64_t step : {std::int64_t{0}, std::int64_t{-86400000}, std::int64_t{4102444800000}}) {
     Record changed = f.at(1).self();
     changed.startedMs = step;
+    Message m;
+    m.self = changed;
+    std::size_t took = 0;
+    Bad why{};
+    EXPECT_TRUE(fleet::decode(fleet::encode(m, "fleet", took), "fleet", why).has_value()) << step;
     f.nodes()[1].logic->onSettings(f.now(), f.settings(), changed);
     f.runFor(f.periods(5));
     EXPECT_TRUE(f.agreed());
