--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -57,7 +57,6 @@
   self_.epoch = draw();
   self_.incarnation = 1;
   self_.state = State::joining;
-  sequence_ = 0;
   periodAt_ = now;  // the seeds are asked at once
   pulledAt_ = now - settings_.period;
   setWake();
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -100,8 +100,7 @@
   unsigned health() const { return health_; }  ///< 0 well; higher: we answer or hear late ourselves
   const Counters& counters() const { return counters_; }
 
-  /// The longest that a member that answers nothing stays unsuspected, by the number present: it is probed
-  /// once a round. And the longest that it then stays suspect.
+  /// How long a member stays suspect before it is held dead, by the number present and by its accusers.
   static Duration suspicion(Duration period, std::size_t present, std::size_t accusers);
   /// Everything that decides what happens next, with times relative to `now`; for exhaustive exploration.
   std::string fingerprint(Time now) const;
