Membership: one place for a view's digests by part; the lab asks for the size alone

The sum that adds ourselves to our part of the view stood three times (pull, its answer, the difference that is noted), and is one function now. The lab copied a gateway's whole settings, up to three times for each datagram, to compare one number.

--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -262,6 +262,12 @@
   return XXH3_64bits_withSeed(r.name.data(), r.name.size(), XXH3_64bits(life, sizeof life));
 }
 
+std::array<std::uint64_t, kBuckets> Membership::buckets() const {
+  std::array<std::uint64_t, kBuckets> all = buckets_;
+  all[bucketOf(self_.name)] += digestOf(self_);
+  return all;
+}
+
 std::uint64_t Membership::digest() const {
   std::uint64_t sum = digestOf(self_);
   for (const std::uint64_t b : buckets_) sum += b;
@@ -303,14 +309,13 @@
   Message m = frame(Type::pull, ask(name, to, settings_.period, false));
   questions_.at(m.nonce).pull = true;
   m.cursor = std::move(cursor);
-  m.buckets.assign(buckets_.begin(), buckets_.end());
-  m.buckets[bucketOf(self_.name)] += digestOf(self_);
+  const auto own = buckets();
+  m.buckets.assign(own.begin(), own.end());
   send(to, std::move(m), false, {});
 }
 
 void Membership::answerPull(const Address& to, const Message& pull) {
-  std::array<std::uint64_t, kBuckets> own = buckets_;
-  own[bucketOf(self_.name)] += digestOf(self_);
+  const auto own = buckets();
   Message m = frame(Type::view, pull.nonce);
   bool more = false;
   for (auto it = others_.upper_bound(pull.cursor); it != others_.end(); ++it) {
@@ -385,10 +390,10 @@
   if (it == others_.end()) return;
   std::vector<std::string>& names = it->second.differs;
   names.clear();
+  const auto own = buckets();
   const auto look = [&](const std::string& name) {
     const std::size_t bucket = bucketOf(name);
-    const std::uint64_t own = buckets_[bucket] + (bucket == bucketOf(self_.name) ? digestOf(self_) : 0);
-    if (own != pull.buckets[bucket] && names.size() < kDiffersMost) names.push_back(name);
+    if (own[bucket] != pull.buckets[bucket] && names.size() < kDiffersMost) names.push_back(name);
   };
   look(self_.name);
   for (const auto& [name, m] : others_) look(name);
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -156,6 +156,7 @@
     return static_cast<std::size_t>(random_(static_cast<std::uint32_t>(n)));
   }
   void setWake();
+  std::array<std::uint64_t, kBuckets> buckets() const;  // ourselves included
   static std::size_t bucketOf(const std::string& name);
   static std::uint64_t digestOf(const Record& r);
 
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -315,10 +315,14 @@
     at(now_ + secs(*wait), Happens::clientTry, id);
   }
 
+  std::uint32_t sizeFor(std::uint32_t g) const {
+    const auto& member = gateways_[g].member;
+    return std::max(settings_.groupSize, member ? static_cast<std::uint32_t>(member->holders()) : 1);
+  }
+
   Settings settingsOf(std::uint32_t g) {
     Settings set = settings_;
-    if (gateways_[g].member)
-      set.groupSize = std::max(set.groupSize, static_cast<std::uint32_t>(gateways_[g].member->holders()));
+    set.groupSize = sizeFor(g);
     set.number = std::min(g, set.groupSize - 1);
     set.seed = Stream(seed_, "seed", static_cast<std::uint64_t>(g) * 64 + gateways_[g].life).engine()();
     set.zone = s_.zones[gateways_[g].zone];
@@ -364,8 +368,8 @@
       });
     }
     w.member->events().clear();
-    if (w.policy && settingsOf(g).groupSize != w.groupSize) {
-      w.groupSize = settingsOf(g).groupSize;
+    if (const std::uint32_t size = sizeFor(g); w.policy && size != w.groupSize) {
+      w.groupSize = size;
       w.policy->onSettings(now_, settingsOf(g));
       carryOut(g);
     }
@@ -384,7 +388,7 @@
     Gateway& w = gateways_[g];
     ++w.life;
     w.up = w.known = true;
-    w.groupSize = settingsOf(g).groupSize;
+    w.groupSize = sizeFor(g);
     w.policy = maker_(settingsOf(g), now_, *this);
     w.serverOf.clear();
     w.pools.assign(machines_.size(), Pool{});
