--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -587,10 +587,9 @@
       if (found && ready.size() >= width) break;
       Host& h = hosts[id];
       if (!relaxed) {
-        if (avoided(h)) continue;
-        bool tried = false;
-        for (std::uint32_t i = 0; i < r.count; ++i) tried |= r.tries[i].host == id;
-        if (tried) continue;
+        bool skipped = avoided(h);
+        for (std::uint32_t i = 0; i < r.count; ++i) skipped |= r.tries[i].host == id;
+        if (skipped) continue;
       }
       if (!allowed(r, h) || !coldMayTake(h)) continue;
       ready.push_back(id);
@@ -658,8 +657,7 @@
     if (!r.ended || r.out > 0) return;
     const auto slot = static_cast<std::uint32_t>(&r - slots.data());
     if (inTurn(r)) {
-      std::deque<std::uint32_t>& queue = turns[r.key].queue;
-      queue.erase(std::remove(queue.begin(), queue.end(), slot), queue.end());
+      std::erase(turns[r.key].queue, slot);
       turnsDue.push_back(r.key);
     }
     slotOf.erase(r.id);
@@ -781,14 +779,12 @@
 
   void onRequest(const Request& q) {
     if (slotOf.count(q.id)) return;
-    std::uint32_t slot;
     if (freeSlots.empty()) {
-      slot = static_cast<std::uint32_t>(slots.size());
+      freeSlots.push_back(static_cast<std::uint32_t>(slots.size()));
       slots.emplace_back();
-    } else {
-      slot = freeSlots.back();
-      freeSlots.pop_back();
     }
+    const std::uint32_t slot = freeSlots.back();
+    freeSlots.pop_back();
     Open& r = slots[slot];
     const std::uint32_t generation = r.generation + 1;
     r = Open{};
@@ -943,12 +939,10 @@
         crowded(h, kinds[h.kind].weight / std::max(e.weight, 0.001));
       if (restarted) {  // a new process: what was learned of the old one is void
         h.health = Health::good;
-        h.ejections = 0;
         h.fails = 0;
         h.classFails.assign(classes.size(), 0);
-        h.fulls = 0;
         h.silent = false;
-        h.lines = h.dialFails = 0;
+        h.ejections = h.fulls = h.lines = h.dialFails = 0;
         h.share = h.crowd = 1;
         h.answers = 0;
         h.pace = usualPace(h);
