A connection that comes up late carries only what may still begin

Seen by reading, then by tests that fail without this: the window of a keyed class, a drain and the client's leaving were looked at when an attempt was decided, not when it was written. Between the two lies the time for connecting, which the settings may put far above the 50 ms of slack: a resend ran 0.6 s past its window of 0.4 s, a host that had been told as draining 0.9 s before got a request, and where attempts may not be cancelled one whose client had left was sent on.

Action::begin says how late an attempt may be written (the window less two steps); the pool keeps to it also when the connection is up in that very instant. A host that takes nothing new has half a second for what is being dialled to it; an attempt of a client that left is dropped while nothing of it is written (outcome moot). Ruled out: a used connection, which is written to at once.

--- a/include/ochrehill/ochrehill.hpp
+++ b/include/ochrehill/ochrehill.hpp
@@ -124,11 +124,12 @@
 
 struct Action {
   ActionKind kind = ActionKind::log;
-  RequestId request = 0;      // send, refuse, fail, cancel
-  std::uint32_t attempt = 0;  // send, cancel: number of the attempt, from 0
-  HostId host = kNone;        // send; close: its idle connections
-  Duration span{};            // send: time limit; refuse: retry-after (0 = none); wake: the clock time
-  std::string text;           // log
+  RequestId request = 0;             // send, refuse, fail, cancel
+  std::uint32_t attempt = 0;         // send, cancel: number of the attempt, from 0
+  HostId host = kNone;               // send; close: its idle connections
+  Duration span{};                   // send: time limit; refuse: retry-after (0 = none); wake: the clock time
+  std::string text;                  // log
+  Duration begin = Duration::max();  // send: it may not be written later than so long from now
 };
 
 struct HostCounts {
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -220,11 +220,11 @@
   }
 
   void emit(ActionKind kind, RequestId id = 0, std::uint32_t attempt = 0, HostId host = kNone,
-            Duration span = {}) {
-    out.push_back({kind, id, attempt, host, span, {}});
+            Duration span = {}, Duration begin = Duration::max()) {
+    out.push_back({kind, id, attempt, host, span, {}, begin});
   }
   void log(std::string text) {
-    out.push_back({ActionKind::log, 0, 0, kNone, {}, std::move(text)});
+    out.push_back({ActionKind::log, 0, 0, kNone, {}, std::move(text), {}});
     logged = now;
   }
   bool mayLog() const { return now - logged >= kLogEvery || logged == Time{}; }
@@ -575,9 +575,15 @@
       const HostEntry& first = hosts[r.tries[i].host].entry;
       if (c.group != Group::all && first.zone != h.entry.zone) return false;
       if (c.group == Group::cell && first.cell != h.entry.cell) return false;
-      if (now + 2 * set.step > r.tries[i].at + c.window) return false;
     }
-    return true;
+    return now <= repeatBy(r);
+  }
+
+  Time repeatBy(const Open& r) const {  // a keyed request that may have run begins no later than this
+    Time by = Time::max();
+    for (std::uint32_t i = 0; i < r.count; ++i)
+      if (r.tries[i].mayHaveRun) by = std::min(by, r.tries[i].at + classes[r.cls].set.window - 2 * set.step);
+    return classes[r.cls].set.effect == Effect::dedup ? by : Time::max();
   }
 
   void gather(const Open& r, bool relaxed) {
@@ -773,7 +779,8 @@
     if (!free(h)) ++h.lines;
     if (!r.uploading) hold(h, r);
     ++r.out;
-    emit(ActionKind::send, r.id, r.count++, id, last - now);
+    emit(ActionKind::send, r.id, r.count, id, last - now, repeatBy(r) - now);
+    ++r.count;
     return true;
   }
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -301,7 +301,7 @@
   for (const ListedHost& host : list.hosts) {
     const HostId id = balancer_.findHost(host.uid);
     if (host.endpoint.port() != 0) hosts_.setEndpoint(id, host.endpoint);
-    if (host.state != HostState::serving) hosts_.closeIdle(id);
+    if (host.state != HostState::serving) hosts_.retire(id);
   }
   ready_ = ready_ || !list.hosts.empty() || kind != ListKind::restored;
   if (kind != ListKind::restored && !clients_.takesClients()) {
@@ -397,8 +397,11 @@
   exchange.ended = true;
   counting(exchange, Statistics::End::failure)(false);
   over_.push_back(id);
+  const std::vector<std::uint32_t> attempts = exchange.attempts;  // the exchange may go with the last of them
   balancer_.onClientGone(now(), id);
   drainActions();
+  // Danger: where attempts may not be cancelled, one that waits for its connection would still be sent.
+  for (const std::uint32_t attempt : attempts) hosts_.drop({id, attempt});
 }
 
 // The time of an upload runs from its last byte.
@@ -482,6 +485,7 @@
   if (it == exchanges_.end() || it->second.ended) return;
   Exchange& exchange = it->second;
   ++exchange.out;
+  exchange.attempts.push_back(action.attempt);
   HttpRequest message = exchange.message;
   // Of an upload under way it is the time from its last byte on.
   const Duration wait = exchange.taken ? action.span : exchange.left;
@@ -495,12 +499,11 @@
       ends_.push_back({{action.request, action.attempt}, action.host, Outcome::moot, {}, {}});
       return;
     }
-    exchange.attempts = {action.attempt};
     return hosts_.start({action.request, action.attempt}, action.host, std::move(message), exchange.upload,
-                        exchange.length, exchange.taken ? action.span : kUploadConnect);
+                        exchange.length, exchange.taken ? action.span : kUploadConnect, action.begin);
   }
   if (message.method() != http::verb::get || !message.body().empty()) message.prepare_payload();
-  hosts_.start({action.request, action.attempt}, action.host, std::move(message), action.span);
+  hosts_.start({action.request, action.attempt}, action.host, std::move(message), action.span, action.begin);
 }
 
 void Gateway::giveUp(const Action& action) {
--- a/src/net/host_pool.cpp
+++ b/src/net/host_pool.cpp
@@ -28,6 +28,8 @@
 
 constexpr std::size_t kChunk = 16 << 10;  // read at a time
 constexpr Duration kSweep = std::chrono::milliseconds(250);
+// What is on its way to a host that takes nothing new has so long to begin: half of what the rules grant.
+constexpr Duration kLastBegin = std::chrono::milliseconds(500);
 constexpr auto kHoldUnknown = std::chrono::milliseconds(100);  // an answer that may prove to be a large one
 constexpr Duration kStall = std::chrono::seconds(10);  // a peer of a body in pieces that stands still is left
 // Danger: a request written to a connection that the host is just closing ends as a reset, which may have
@@ -58,7 +60,7 @@
   std::string piece;  // of the upload, being written
   AttemptKey key;
   Phase phase = Phase::connecting;
-  Clock::time_point sentAt, idleSince, deadline;
+  Clock::time_point sentAt, idleSince, deadline, beginBy;
   std::uint64_t turn = 0;  // of the timer: one that is already due when it is moved is told by it
   bool watching = false, pieceOut = false, lastChunk = false, receiving = false;
   bool waitsShort = false, feeding = false;
@@ -111,16 +113,22 @@
            parser->get().result() == http::status::ok;
   }
 
+  void limitDial() {
+    limit(std::min(beginBy, sentAt + pool->limits_.connectTimeout), Outcome::connectFailed);
+  }
+
   void connect(const tcp::endpoint& endpoint) {
     // Until the connection is up nothing has been written, so the end of the attempt's own time proves here
     // that it never ran, as the end of the time for connecting does.
-    limit(std::min(deadline, sentAt + pool->limits_.connectTimeout), Outcome::connectFailed);
+    beginBy = std::min(beginBy, deadline);
+    limitDial();
     error_code ec;
     socket.open(endpoint.protocol(), ec);  // fails when no descriptor is left
     if (ec) return end(Outcome::connectFailed);
     socket.async_connect(endpoint, [self = shared_from_this()](error_code connectError) {
       if (self->phase != Phase::connecting) return;
-      if (connectError) return self->end(Outcome::connectFailed);
+      // Danger: it may come up in the instant in which its time ends; from then on it may not begin.
+      if (connectError || Clock::now() > self->beginBy) return self->end(Outcome::connectFailed);
       error_code ignored;
       self->socket.set_option(tcp::no_delay(true), ignored);
       self->write();
@@ -415,15 +423,15 @@
   h.endpoint = endpoint;
 }
 
-void HostPool::start(AttemptKey key, HostId host, HttpRequest request, Duration limit) {
-  begin(key, host, std::move(request), limit, nullptr);
+void HostPool::start(AttemptKey key, HostId host, HttpRequest request, Duration limit, Duration begin) {
+  this->begin(key, host, std::move(request), limit, begin, nullptr);
 }
 
 void HostPool::start(AttemptKey key, HostId host, HttpRequest head, std::shared_ptr<BodyStream> upload,
-                     std::optional<std::uint64_t> length, Duration limit) {
+                     std::optional<std::uint64_t> length, Duration limit, Duration begin) {
   if (length) head.content_length(*length);
   else head.chunked(true);
-  begin(key, host, std::move(head), limit, std::move(upload));
+  this->begin(key, host, std::move(head), limit, begin, std::move(upload));
 }
 
 void HostPool::uploaded(AttemptKey key, Duration limit) {
@@ -433,7 +441,7 @@
   it->second->deadline = it->second->sentAt + limit;
 }
 
-void HostPool::begin(AttemptKey key, HostId host, HttpRequest request, Duration limit,
+void HostPool::begin(AttemptKey key, HostId host, HttpRequest request, Duration limit, Duration begin,
                      std::shared_ptr<BodyStream> upload) {
   const auto now = Clock::now();
   std::shared_ptr<Connection> connection = takeIdle(host);
@@ -450,6 +458,8 @@
   connection->held = BodyShare(budget_, 0);
   connection->sentAt = now;
   connection->deadline = now + std::max(limit, Duration::zero());
+  // Danger: far in the future the sum would overflow.
+  connection->beginBy = begin < kStall ? now + begin : Clock::time_point::max();
   busy_.emplace(key, connection);
   if (fresh) connection->connect(hostOf(host).endpoint);
   else connection->write();
@@ -462,6 +472,22 @@
   connection->end(Outcome::cancelled);
 }
 
+void HostPool::drop(AttemptKey key) {
+  const auto it = busy_.find(key);
+  if (it == busy_.end() || it->second->phase != Connection::Phase::connecting) return;
+  const auto connection = it->second;
+  connection->end(Outcome::moot);
+}
+
+void HostPool::retire(HostId host) {
+  closeIdle(host);
+  for (const auto& [key, connection] : busy_)
+    if (connection->host == host && connection->phase == Connection::Phase::connecting) {
+      connection->beginBy = std::min(connection->beginBy, Clock::now() + kLastBegin);
+      connection->limitDial();
+    }
+}
+
 void HostPool::closeIdle(HostId host) {
   for (auto& connection : std::exchange(hostOf(host).idle, {})) connection->close();
 }
--- a/src/net/host_pool.hpp
+++ b/src/net/host_pool.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -57,14 +58,19 @@
   HostPool& operator=(const HostPool&) = delete;
 
   void setEndpoint(ochrehill::HostId host, const boost::asio::ip::tcp::endpoint& endpoint);
-  // Sends the request, on the latest used idle connection if there is one. Ends exactly once.
-  void start(AttemptKey key, ochrehill::HostId host, HttpRequest request, ochrehill::Duration limit);
+  // Sends the request, on the latest used idle connection if there is one. Ends exactly once. `begin`: it may
+  // not be written later than so long from now.
+  void start(AttemptKey key, ochrehill::HostId host, HttpRequest request, ochrehill::Duration limit,
+             ochrehill::Duration begin = ochrehill::Duration::max());
   // The body comes in pieces, in chunks if its length is not known. While it comes, uploaded() sets the
   // limit.
   void start(AttemptKey key, ochrehill::HostId host, HttpRequest head, std::shared_ptr<BodyStream> upload,
-             std::optional<std::uint64_t> length, ochrehill::Duration limit);
+             std::optional<std::uint64_t> length, ochrehill::Duration limit,
+             ochrehill::Duration begin = ochrehill::Duration::max());
   void uploaded(AttemptKey key, ochrehill::Duration limit);
   void cancel(AttemptKey key);
+  void drop(AttemptKey key);            // if nothing of it was written yet
+  void retire(ochrehill::HostId host);  // it takes nothing new: what is under way to it may end
   void closeIdle(ochrehill::HostId host);
   void stop();  // closes all without a word
   void setTimes(ochrehill::Duration connectTimeout, ochrehill::Duration idleClose);
@@ -76,7 +82,7 @@
   struct Connection;
   struct Host {
     boost::asio::ip::tcp::endpoint endpoint;
-    std::vector<std::shared_ptr<Connection>> idle;  // the latest used last
+    std::vector<std::shared_ptr<Connection>> idle;       // the latest used last
   };
   struct KeyHash {
     std::size_t operator()(const AttemptKey& k) const {
@@ -85,7 +91,7 @@
   };
 
   void begin(AttemptKey key, ochrehill::HostId host, HttpRequest request, ochrehill::Duration limit,
-             std::shared_ptr<BodyStream> upload);
+             ochrehill::Duration begin, std::shared_ptr<BodyStream> upload);
   Host& hostOf(ochrehill::HostId host);
   std::shared_ptr<Connection> takeIdle(ochrehill::HostId host);
   bool closeOldestIdle();
--- /dev/null
+++ b/tests/crossings_test.cpp
@@ -0,0 +1,258 @@
+// Two events that cross: each crossing is forced, by peers that act once the other side was seen to act, or
+// in one turn of the loop that they share with the gateway. docs/connections.md names the cells they stand
+// for.
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <filesystem>
+
+#include "gateway_fixture.hpp"
+
+namespace cairnjunction::testing {
+namespace {
+
+using namespace std::chrono_literals;
+using Clock = std::chrono::steady_clock;
+
+// A client's socket without a loop: what it writes is at the gateway's machine when the call returns.
+class PlainClient {
+ public:
+  PlainClient(asio::io_context& io, const tcp::endpoint& to) : socket_(io) {
+    socket_.connect(to);
+    socket_.non_blocking(true);
+  }
+  void send(const std::string& text) {
+    error_code ec;
+    asio::write(socket_, asio::buffer(text), ec);
+    reset = reset || (ec && ec != asio::error::would_block);
+  }
+  // Reads what is there; true while the connection is open.
+  bool open() {
+    char bytes[16384];
+    for (;;) {
+      error_code ec;
+      const std::size_t n = socket_.read_some(asio::buffer(bytes), ec);
+      come.append(bytes, n);
+      if (ec == asio::error::would_block) return true;
+      reset = reset || ec == asio::error::connection_reset || ec == asio::error::broken_pipe;
+      if (ec) return false;
+    }
+  }
+  bool got(const std::string& text) {
+    open();
+    return come.find(text) != std::string::npos;
+  }
+  void halfClose() {
+    error_code ec;
+    socket_.shutdown(tcp::socket::shutdown_send, ec);
+  }
+
+  std::string come;
+  bool reset = false;
+
+ private:
+  tcp::socket socket_;
+};
+
+class Crossings : public GatewayTest {
+ protected:
+  static void spinPast(Clock::time_point at) {  // the loop does not run meanwhile
+    while (Clock::now() <= at) {
+    }
+  }
+  void keepTurns(std::size_t cls) { config["settings"]["grades"][cls]["inTurn"] = true; }
+  void waitLong() {  // no time limit ends what a test waits for
+    for (auto& grade : config["settings"]["grades"]) grade["giveUpNs"] = grade["aimNs"] = 600'000'000'000;
+  }
+  std::string ok(const std::string& body = "ok") { return answerText(200, "", body); }
+};
+
+// --- A client leaves while its request waits ------------------------------------------------------------
+
+TEST_F(Crossings, AClientThatLeavesWhileItsConnectionComesUpIsNotSentOn) {
+  config["settings"]["ceilings"]["cancel"] = false;
+  addHost("a", always(ok()));
+  start();
+  hosts[0]->pause();
+  auto c = client();
+  c->send(text("read"));
+  const auto sent = Clock::now();
+  ASSERT_TRUE(until([&] { return Clock::now() > sent + 50ms; }));
+  c->close();
+  ASSERT_TRUE(until([&] { return Clock::now() > sent + 100ms; }));
+  hosts[0]->resume();
+  ASSERT_TRUE(until([&] { return Clock::now() > sent + 1500ms; }));  // it would have come up after 1 s
+  EXPECT_TRUE(reached.empty());
+}
+
+// --- Connections to hosts -------------------------------------------------------------------------------
+
+TEST_F(Crossings, HalfALineOnARestingConnectionIsNoAnswer) {
+  std::shared_ptr<PeerConnection> used;
+  addHost("a", [&](PeerConnection& c, std::size_t) {
+    used = c.shared_from_this();
+    c.reply(ok("mine"));
+  });
+  start();
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(ask(text("write")).body(), "mine");
+    used->reply("HTTP/1.1 2");  // the gateway looks first when the next request comes
+  }
+}
+
+TEST_F(Crossings, AnAnswerAheadOfTheHostsResetCounts) {
+  addHost("a", [&](PeerConnection& c, std::size_t) {
+    c.reply(ok("mine"));
+    c.reset();
+  });
+  start();
+  EXPECT_EQ(ask(text("write")).body(), "mine");
+}
+
+TEST_F(Crossings, AnAnswerThatNeverEndsIsAnsweredInTime) {
+  shorten(1);
+  addHost("a", [&](PeerConnection& c, std::size_t) {
+    c.reply("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+  });
+  start();
+  EXPECT_EQ(ask(text("write")).result_int(), 502u);
+  EXPECT_EQ(reached.size(), 1u);
+}
+
+class Attempts : public Crossings {  // the pool alone
+ protected:
+  std::vector<AttemptEnd> ends;
+  HostPool pool{io,
+                {.connections = 8, .connectTimeout = 20s, .idleClose = 60s},
+                [this](AttemptEnd end) { ends.push_back(std::move(end)); },
+                std::make_shared<BodyBudget>(1 << 20)};
+  HttpRequest get() {
+    HttpRequest r{http::verb::get, "/read", 11};
+    r.set("X-Request-Id", "r");
+    return r;
+  }
+};
+
+TEST_F(Attempts, AnAnswerThatIsThereWhenTheTimeEndsCounts) {
+  Peer host(io, nullptr);
+  pool.setEndpoint(0, host.endpoint);
+  const auto began = Clock::now();
+  pool.start({1, 0}, 0, get(), 200ms);
+  ASSERT_TRUE(until([&] { return host.requests.size() == 1 || !ends.empty(); }));
+  host.connections[0]->reply(ok());
+  spinPast(began + 200ms);
+  ASSERT_TRUE(until([&] { return !ends.empty(); }));
+  EXPECT_EQ(ends[0].outcome, ochrehill::Outcome::served);
+  EXPECT_EQ(ends.size(), 1u);
+}
+
+TEST_F(Attempts, AHalfAnswerThatIsThereWhenTheTimeEndsDoesNot) {
+  Peer host(io, nullptr);
+  pool.setEndpoint(0, host.endpoint);
+  const auto began = Clock::now();
+  pool.start({1, 0}, 0, get(), 200ms);
+  ASSERT_TRUE(until([&] { return host.requests.size() == 1 || !ends.empty(); }));
+  host.connections[0]->reply("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+  spinPast(began + 200ms);
+  ASSERT_TRUE(until([&] { return !ends.empty(); }));
+  EXPECT_EQ(ends[0].outcome, ochrehill::Outcome::timeout);
+}
+
+TEST_F(Attempts, AnAnswerThatCrossesItsCancelEndsItOnce) {
+  Peer host(io, [&](PeerConnection& c) { c.reply(ok()); });
+  pool.setEndpoint(0, host.endpoint);
+  pool.start({1, 0}, 0, get(), 20s);
+  ASSERT_TRUE(until([&] { return host.requests.size() == 1; }));
+  if (ends.empty()) pool.cancel({1, 0});
+  ASSERT_TRUE(until(
+      [&] { return host.connections[0]->closedByPeer || ends[0].outcome == ochrehill::Outcome::served; }));
+  EXPECT_EQ(ends.size(), 1u);
+}
+
+TEST_F(Attempts, AConnectionThatComesUpPastTheTimeToBeginCarriesNothing) {
+  Peer host(io, [&](PeerConnection& c) { c.reply(ok()); });
+  host.pause();
+  pool.setEndpoint(0, host.endpoint);
+  pool.start({1, 0}, 0, get(), 20s, 100ms);
+  const auto began = Clock::now();
+  ASSERT_TRUE(until([&] { return Clock::now() > began + 50ms; }));
+  host.resume();  // it comes up a second after it was dialled
+  ASSERT_TRUE(until([&] { return !ends.empty(); }));
+  EXPECT_EQ(ends[0].outcome, ochrehill::Outcome::connectFailed);
+  EXPECT_TRUE(host.requests.empty());
+}
+
+TEST_F(Attempts, AConnectionThatIsUpInTheInstantItsTimeToBeginEndsCarriesNothing) {
+  Peer host(io, [&](PeerConnection& c) { c.reply(ok()); });
+  pool.setEndpoint(0, host.endpoint);
+  const auto began = Clock::now();
+  pool.start({1, 0}, 0, get(), 20s, 5ms);
+  spinPast(began + 6ms);  // up since its first moment, and nobody looked
+  ASSERT_TRUE(until([&] { return !ends.empty(); }));
+  EXPECT_EQ(ends[0].outcome, ochrehill::Outcome::connectFailed);
+  EXPECT_TRUE(host.requests.empty());
+}
+
+TEST_F(Crossings, AHostThatDrainsWhileItsConnectionComesUpGetsNothing) {
+  config["settings"]["ceilings"]["connectTimeoutNs"] = 20'000'000'000;
+  const auto script = always(ok());
+  addHost("a", script, "DRAINING");
+  addHost("a", script);
+  start();
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  hosts[1]->pause();
+  auto c = client();
+  c->send(text("read"));
+  const auto sent = Clock::now();
+  ASSERT_TRUE(until([&] { return Clock::now() > sent + 50ms; }));
+  discovery.push(
+      {{"all", false},
+       {"targets", {target("s-0", hosts[0]->endpoint), target("s-1", hosts[1]->endpoint, "a", "DRAINING")}}});
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  hosts[1]->resume();  // it would come up a second after it was dialled
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].result_int(), 200u);
+  ASSERT_TRUE(until([&] { return Clock::now() > sent + 1500ms; }));
+  EXPECT_EQ(reached, std::vector<std::string>{"s-0"});
+}
+
+// --- Retries --------------------------------------------------------------------------------------------
+
+TEST_F(Crossings, AResendWhoseConnectionComesUpPastTheWindowIsNotSent) {
+  config["settings"]["ceilings"]["connectTimeoutNs"] = 20'000'000'000;
+  config["settings"]["grades"][2]["windowNs"] = 400'000'000;
+  const Script script = first([&](PeerConnection& c) {
+    hosts[reached[0] == "s-0" ? 1 : 0]->pause();
+    c.reset();
+  });
+  addHost("a", script);
+  addHost("a", script);
+  start();
+  auto c = client();
+  c->send(text("put"));
+  ASSERT_TRUE(until([&] { return reached.size() == 1; }));
+  const auto sent = Clock::now();
+  ASSERT_TRUE(until([&] { return Clock::now() > sent + 200ms; }));
+  hosts[reached[0] == "s-0" ? 1 : 0]->resume();
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].result_int(), 502u);
+  ASSERT_TRUE(until([&] { return Clock::now() > sent + 1500ms; }));
+  EXPECT_EQ(reached.size(), 1u);
+}
+
+TEST_F(Crossings, AReloadThatShortensTheWindowLeavesRequestsUnderWayTheirs) {
+  std::shared_ptr<PeerConnection> held;
+  twoHosts(first([&](PeerConnection& c) { held = c.shared_from_this(); }));
+  auto c = client();
+  c->send(text("put"));
+  ASSERT_TRUE(until([&] { return held != nullptr; }));
+  config["settings"]["grades"][2]["windowNs"] = 1;
+  gateway->reload(parseConfig(config, [](const char*) { return nullptr; }));
+  held->reset();
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].result_int(), 200u) << "what was taken keeps the class that it came with";
+  EXPECT_EQ(reached.size(), 2u);
+}
+
+}  // namespace
+}  // namespace cairnjunction::testing
--- a/tests/net_peers.hpp
+++ b/tests/net_peers.hpp
@@ -115,6 +115,20 @@
     held_.bind(endpoint);
   }
 
+  // From here on no connection comes up: one lies in the queue, which is full with it, and what dials is left
+  // to try again a second later. Until resume().
+  void pause() {
+    acceptor_.cancel();
+    acceptor_.listen(0);
+    filler_.connect(endpoint);
+    paused_ = true;
+  }
+  void resume() {
+    paused_ = false;
+    acceptor_.listen();
+    accept();
+  }
+
   tcp::endpoint endpoint;
   PeerConnection::Script script;
   std::vector<std::shared_ptr<PeerConnection>> connections;
@@ -123,7 +137,7 @@
  private:
   void accept() {
     acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
-      if (ec) return;
+      if (ec || paused_) return;
       connections.push_back(std::make_shared<PeerConnection>(std::move(socket), [this](PeerConnection& c) {
         requests.push_back(c.request);
         if (script) script(c);
@@ -133,7 +147,8 @@
     });
   }
   tcp::acceptor acceptor_;
-  tcp::socket held_{acceptor_.get_executor()};
+  tcp::socket held_{acceptor_.get_executor()}, filler_{acceptor_.get_executor()};
+  bool paused_ = false;
 };
 
 // Answers lists and first looks at once, holds the watches until something is pushed.
@@ -179,6 +194,11 @@
     asio::async_write(socket_, asio::buffer(*held), [held](error_code, std::size_t) {});
   }
   void close() { socket_.close(); }
+  void halfClose() { socket_.shutdown(tcp::socket::shutdown_send); }
+  void reset() {
+    socket_.set_option(asio::socket_base::linger(true, 0));
+    socket_.close();
+  }
 
   std::vector<Response> answers;
   bool closedByPeer = false;
