A host that speaks unasked has its connections rest before they are used again

A second answer that comes some milliseconds late, on a connection already in use again, was taken for the answer to the next request: the client got what no server made for it. The answers carry no id, so the two cannot be told apart once the next request is out.

A host that sent more than its answer, or anything on a resting connection, is remembered for 30 s; meanwhile its connections are used again only after 50 ms of rest, in which the late answer shows and ends the connection. The first such answer of a host can still hit. Way not taken: no reuse at all, which costs a handshake a request.

--- a/src/net/host_pool.cpp
+++ b/src/net/host_pool.cpp
@@ -28,6 +28,10 @@
 
 constexpr std::size_t kChunk = 16 << 10;  // read at a time
 constexpr Duration kSweep = std::chrono::milliseconds(250);
+// A host that spoke unasked on a connection may do so again some milliseconds after an answer, and that would
+// pass for the answer to the next request. Its connections rest so long first, for so long after.
+constexpr auto kQuiet = std::chrono::milliseconds(50);
+constexpr Duration kUnasked = std::chrono::seconds(30);
 // What is on its way to a host that takes nothing new has so long to begin: half of what the rules grant.
 constexpr Duration kLastBegin = std::chrono::milliseconds(500);
 constexpr auto kHoldUnknown = std::chrono::milliseconds(100);  // an answer that may prove to be a large one
@@ -107,6 +111,11 @@
     pool->relaying_.erase(shared_from_this());
   }
 
+  bool unread() const {
+    error_code ec;
+    return socket.available(ec) > 0 && !ec;
+  }
+
   // An answer of unknown length. It may pass what is held, and of such a one the first bytes count.
   bool mayGrow() const {
     return parser && parser->is_header_done() && !parser->is_done() && !parser->content_length() &&
@@ -331,7 +340,8 @@
     return Outcome::error;  // it may have run, whatever the answer says
   }
 
-  bool reusable() const {
+  bool reusable() {
+    if (buffer.size() > 0) unasked();
     return parser->get().result() != http::status::switching_protocols && !parser->need_eof() &&
            parser->get().keep_alive() && buffer.size() == 0;
   }
@@ -371,16 +381,20 @@
     watching = true;
     socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code) {
       self->watching = false;
-      if (self->phase == Phase::idle) self->pool->dropIdle(self);
+      if (self->phase != Phase::idle) return;
+      if (self->unread()) self->unasked();
+      self->pool->dropIdle(self);
     });
   }
 
+  void unasked() { pool->hostOf(host).restsUntil = Clock::now() + kUnasked; }
+
   // Seen at once, also when the event loop has not come to it yet.
   bool usable() {
     char byte;
     error_code ec;
     socket.non_blocking(true, ec);
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    if (socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec) > 0) unasked();
     return ec == asio::error::would_block || ec == asio::error::try_again;
   }
 };
@@ -493,10 +507,13 @@
 }
 
 std::shared_ptr<HostPool::Connection> HostPool::takeIdle(HostId host) {
-  auto& idle = hostOf(host).idle;
-  while (!idle.empty()) {
-    const auto connection = std::move(idle.back());
-    idle.pop_back();
+  Host& h = hostOf(host);
+  const auto now = Clock::now();
+  const bool rests = now < h.restsUntil;
+  for (std::size_t i = h.idle.size(); i-- > 0;) {
+    const auto connection = h.idle[i];
+    if (rests && now - connection->idleSince < kQuiet) continue;
+    h.idle.erase(h.idle.begin() + static_cast<std::ptrdiff_t>(i));
     if (!outlived(*connection) && connection->usable()) return connection;
     connection->close();
   }
--- a/src/net/host_pool.hpp
+++ b/src/net/host_pool.hpp
@@ -83,6 +83,7 @@
   struct Host {
     boost::asio::ip::tcp::endpoint endpoint;
     std::vector<std::shared_ptr<Connection>> idle;       // the latest used last
+    std::chrono::steady_clock::time_point restsUntil{};  // it spoke unasked: new uses wait a little
   };
   struct KeyHash {
     std::size_t operator()(const AttemptKey& k) const {
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -100,6 +100,23 @@
   }
 }
 
+TEST_F(Crossings, ASecondAnswerThatComesLateIsNotTakenForTheNextOne) {
+  std::vector<std::shared_ptr<PeerConnection>> used;
+  addHost("a", [&](PeerConnection& c, std::size_t n) {
+    used.push_back(c.shared_from_this());
+    if (n == 0) return c.reply(ok("mine") + ok("again"));
+    if (n == 2) used[1]->reply(ok("again"));  // the last one's again, once the next is on its way
+    c.reply(ok("mine"));
+  });
+  start();
+  auto c = client();
+  for (std::size_t i = 1; i <= 4; ++i) {
+    c->send(text("write"));
+    ASSERT_TRUE(until([&] { return c->answers.size() == i; }));
+    EXPECT_EQ(c->answers.back().body(), "mine") << i;
+  }
+}
+
 TEST_F(Crossings, AnAnswerAheadOfTheHostsResetCounts) {
   addHost("a", [&](PeerConnection& c, std::size_t) {
     c.reply(ok("mine"));
