A discovery moved to is asked for its whole list

After SIGHUP moved discovery, the watch went on from the other discovery's version: changes it sent on top of a list it never told left hosts in ours for good (test: a host that the new one does not list got requests). The version is dropped at the move; the list held stays until the whole one is there. Ruled out by tests: a watch whose answer and timer come in one turn, half a list when its watch falls silent, a list on its way while discovery moves, an older version, a drain told while discovery was away.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -105,6 +105,9 @@
 
 void Discovery::moveTo(tcp::endpoint server) {
   server_ = std::move(server);
+  // Danger: its versions may count from elsewhere, and changes on top of a list that it never told would
+  // leave hosts in ours for good. So the whole list is asked for; ours stays until that is here.
+  version_.reset();
   watch();
 }
 
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -592,6 +592,119 @@
   EXPECT_EQ(reached.size(), 2u);
 }
 
+// --- Discovery ------------------------------------------------------------------------------------------
+
+TEST_F(Crossings, AMovedDiscoveryIsAskedForTheWholeList) {
+  FakeDiscovery other{io};
+  twoHosts(always(ok()));
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  other.list = json::array({discovery.list[0]});  // of the same version, and never told of the second
+  config["discovery"] = textOf(other.peer.endpoint);
+  gateway->reload(parseConfig(config, [](const char*) { return nullptr; }));
+  EXPECT_EQ(ask(text("read")).result_int(), 200u) << "the list held stays until then";
+  ASSERT_TRUE(until([&] { return other.held.size() == 1; }));
+  reached.clear();
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
+  EXPECT_EQ(std::set<std::string>(reached.begin(), reached.end()), std::set<std::string>{"s-0"});
+}
+
+TEST_F(Crossings, AListOnItsWayWhileDiscoveryMovesCountsForNothing) {
+  FakeDiscovery other{io};
+  twoHosts(always(ok()));
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  other.list = discovery.list;
+  discovery.push({{"all", true}, {"targets", json::array()}});
+  config["discovery"] = textOf(other.peer.endpoint);
+  gateway->reload(parseConfig(config, [](const char*) { return nullptr; }));
+  ASSERT_TRUE(until([&] { return other.held.size() == 1; }));
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
+}
+
+TEST_F(Crossings, AWatchWhoseAnswerAndTimerComeInOneTurnIsEndedOnce) {
+  waits.discovery = {100ms, 100ms};
+  twoHosts(always(ok()));
+  const auto script = discovery.peer.script;
+  std::size_t asked = 0;
+  discovery.peer.script = [&](PeerConnection& c) {
+    if (c.request.target().to_string().find("timeout_ms=100") == std::string::npos) return script(c);
+    if (asked++ > 0) return;
+    c.reply(answerText(
+        200, "",
+        json{{"rev", 2}, {"all", false}, {"targets", {target("s-0", hosts[0]->endpoint, "a", "DRAINING")}}}
+            .dump()));
+    discovery.version = 2;
+    discovery.list[0]["state"] = "DRAINING";
+    spinPast(Clock::now() + 250ms);
+  };
+  ASSERT_TRUE(until([&] { return asked >= 3; }));
+  reached.clear();
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
+  EXPECT_EQ(std::count(reached.begin(), reached.end(), "s-0"), 0) << "the answer was there first";
+}
+
+TEST_F(Crossings, AListHalfReadWhenItsWatchFallsSilentCountsForNothing) {
+  waits.discovery = {50ms, 50ms};
+  twoHosts(always(ok()));
+  const auto script = discovery.peer.script;
+  bool cut = false;
+  discovery.peer.script = [&](PeerConnection& c) {
+    if (c.request.target().to_string().find("timeout_ms=50") == std::string::npos) return script(c);
+    if (std::exchange(cut, true)) return;
+    const std::string whole =
+        answerText(200, "", json{{"rev", 7}, {"all", true}, {"targets", json::array()}}.dump());
+    c.reply(whole.substr(0, whole.size() - 1));
+  };
+  const auto looks = [&] {
+    return std::count_if(discovery.targets.begin(), discovery.targets.end(),
+                         [](const std::string& t) { return t.find("timeout_ms=1") != std::string::npos; });
+  };
+  ASSERT_TRUE(until([&] { return looks() >= 2; }));
+  EXPECT_NE(discovery.targets.back().find("since=1&"), std::string::npos);
+  EXPECT_EQ(ask(text("read")).result_int(), 200u);
+}
+
+TEST_F(Crossings, DiscoveryBackWithAnOlderVersionIsAskedForTheWholeList) {
+  discovery.version = 9;
+  addHost("a", always(ok()));
+  addHost("a", always(ok()));
+  config["known"] = {{"rev", 9}, {"all", true}, {"targets", discovery.list}};
+  start();
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  discovery.list.erase(1);
+  discovery.version = 2;  // it was set up anew
+  discovery.push({{"all", false}, {"targets", json::array()}});
+  ASSERT_TRUE(
+      until([&] { return discovery.targets.back().find("since=3&timeout_ms=20000") != std::string::npos; }));
+  reached.clear();
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
+  EXPECT_EQ(std::set<std::string>(reached.begin(), reached.end()), std::set<std::string>{"s-0"});
+}
+
+TEST_F(Crossings, ADrainToldWhileDiscoveryWasAwayIsHeardAtItsReturn) {
+  twoHosts(always(ok()));
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  discovery.failing = true;
+  discovery.held[0]->reset();
+  discovery.held.clear();
+  ASSERT_TRUE(until([&] { return discovery.targets.size() >= 4; }));
+  const auto script = discovery.peer.script;
+  bool told = false;
+  discovery.peer.script = [&](PeerConnection& c) {
+    if (told) return script(c);
+    told = true;
+    discovery.failing = false;
+    discovery.version = 2;
+    c.reply(answerText(
+        200, "",
+        json{{"rev", 2}, {"all", false}, {"targets", {target("s-0", hosts[0]->endpoint, "a", "DRAINING")}}}
+            .dump()));
+  };
+  ASSERT_TRUE(until([&] { return told && discovery.held.size() == 1; }));
+  reached.clear();
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
+  EXPECT_EQ(std::count(reached.begin(), reached.end(), "s-0"), 0);
+}
+
 // --- Floods ---------------------------------------------------------------------------------------------
 
 std::size_t openFiles() {
