--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Builds with warnings as errors and runs all tests. With `sanitize`: under the address and
+# Builds with warnings as errors and runs all tests; passes over just the failures that KNOWN-RED.txt names, if
+# it is there. With `sanitize`: under the address and
 # undefined-behaviour sanitizers.
 set -eu
 cd "$(dirname "$0")"
@@ -8,4 +9,4 @@
 cmake -B "$dir" -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_CXX_FLAGS=-Werror \
   -DOCHREHILL_TESTS=ON -DHOLLYRUN_LAB=ON -DOCHREHILL_SANITIZE="$sanitize"
 cmake --build "$dir" -j"$(nproc)"
-ctest --test-dir "$dir" --output-on-failure -j"$(nproc)"
+tools/ctest-known-red.sh "$dir"
