Two variants of the deployment, and what settings may and may not say

Twelve kinds of settings that cannot be are turned down at the start and at SIGHUP; odd ones that can be are served. Found on the way: two classes of one name were taken and the second never used; they are a fault now.

--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,7 +1,9 @@
 #include "settings.hpp"
 
 #include <cmath>
+#include <set>
 #include <stdexcept>
+#include <string>
 
 namespace ochrehill {
 namespace {
@@ -23,8 +25,10 @@
   require(s.overShareWorth >= 0 && s.overShareWorth <= 1, "overShareWorth must lie in [0, 1]");
   for (Duration d : {s.maxRetryAfter, s.askWithin, s.step, s.coldTime, s.fallWindow, s.keyRest, s.idleClose})
     require(d >= Duration::zero(), "durations must not be negative");
+  std::set<std::string> names;
   for (const ClassSettings& c : s.classes) {
     require(!c.name.empty(), "a class has no name");
+    require(names.insert(c.name).second, "two classes are called " + c.name);
     require(c.aim > Duration::zero(), "class " + c.name + ": aim must be above 0");
     require(c.giveUp >= c.aim, "class " + c.name + ": giveUp must not be below aim");
     require(std::isfinite(c.worth) && c.worth >= 0, "class " + c.name + ": worth must be 0 or more");
--- /dev/null
+++ b/tests/sites_test.cpp
@@ -0,0 +1,135 @@
+// Other customers' settings: the variants in deploy/sites and what is wrong, or odd but allowed.
+#include <toml++/toml.h>
+
+#include "gateway_fixture.hpp"
+
+namespace cairnjunction::testing {
+namespace {
+
+class Sites : public GatewayTest {
+ protected:
+  static Config parsed(const json& config) {
+    return parseConfig(config, [](const char*) { return nullptr; });
+  }
+  json& grade(std::size_t i) { return config["settings"]["grades"][i]; }
+};
+
+class SiteFiles : public Sites, public ::testing::WithParamInterface<const char*> {
+ protected:
+  // What the platform would tell a gateway of this site.
+  void take(const toml::table& site) {
+    json& settings = config["settings"];
+    settings["grades"] = json::array();
+    const auto ms = [](const toml::table& t, const char* key) {
+      return t[key].value_or(std::int64_t{0}) * 1'000'000;
+    };
+    for (const auto& node : *site["class"].as_array()) {
+      const toml::table& c = *node.as_table();
+      const std::string effect = c["effect"].value_or(std::string());
+      json entry = {{"name", c["name"].value_or(std::string())},
+                    {"effect", effect == "safe"    ? "retryable"
+                               : effect == "keyed" ? "dedup"
+                                                   : "fragile"},
+                    {"aimNs", ms(c, "aim_ms")},
+                    {"giveUpNs", ms(c, "deadline_ms")},
+                    {"points", c["worth"].value_or(1.0)},
+                    {"lateShare", c["late_worth"].value_or(0.0)}};
+      if (effect == "keyed")
+        entry["group"] = c["group"].value_or(std::string()), entry["windowNs"] = ms(c, "window_ms");
+      settings["grades"].push_back(entry);
+    }
+    settings["ceilings"]["cancel"] = site["allow"]["cancel"].value_or(true);
+    settings["ceilings"]["maxAttempts"] = site["allow"]["max_attempts"].value_or(3);
+    settings["ceilings"]["parallelTries"] = site["allow"]["second_copies"].value_or(false);
+    settings["ceilings"]["retryAfter"] = site["allow"]["retry_after"].value_or(false);
+    settings["zone"] = site["net"]["zones"][0].value_or(std::string());
+  }
+  std::string requestOf(const json& g) {
+    const std::string name = g["name"], id = std::to_string(++serial), effect = g["effect"];
+    const std::string head =
+        " /" + name + " HTTP/1.1\r\nHost: x\r\nX-Class: " + name + "\r\nX-Request-Id: r" + id + "\r\n";
+    if (effect == "retryable") return "GET" + head + "\r\n";
+    return "POST" + head + (effect == "dedup" ? "Idempotency-Key: k" + id + "\r\n" : "") +
+           "Content-Length: 2\r\n\r\nhi";
+  }
+};
+
+TEST_P(SiteFiles, AGatewayServesEveryClassOfIt) {
+  const toml::table site = toml::parse_file(std::string(HOLLYRUN_SITES) + "/" + GetParam());
+  take(site);
+  ASSERT_GE(config["settings"]["grades"].size(), 2u);
+  for (auto& g : config["settings"]["grades"]) g["aimNs"] = g["giveUpNs"] = 20'000'000'000;  // slow machines
+  twoHosts(always(answerText(200, "", "ok")));
+  for (const auto& g : config["settings"]["grades"]) EXPECT_EQ(ask(requestOf(g)).result_int(), 200u) << g;
+  EXPECT_EQ(ask("GET /lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: r\r\n\r\n").result_int(), 404u)
+      << "no class of another deployment is known";
+}
+
+TEST_P(SiteFiles, AHostThatResetsIsTriedAgainAsTheEffectPermits) {
+  const toml::table site = toml::parse_file(std::string(HOLLYRUN_SITES) + "/" + GetParam());
+  take(site);
+  for (auto& g : config["settings"]["grades"]) g["aimNs"] = g["giveUpNs"] = 20'000'000'000;
+  twoHosts([](PeerConnection& c, std::size_t) { c.reset(); });
+  for (const auto& g : config["settings"]["grades"]) {
+    reached.clear();
+    EXPECT_GE(ask(requestOf(g)).result_int(), 500u);
+    EXPECT_LE(reached.size(), config["settings"]["ceilings"]["maxAttempts"].get<std::size_t>());
+    if (g["effect"] == "fragile") EXPECT_EQ(reached.size(), 1u) << g;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Sites, SiteFiles, ::testing::Values("short-deadlines.toml", "two-classes.toml"),
+                         [](const auto& tested) {
+                           return std::string(tested.param) == "two-classes.toml" ? "TwoClasses"
+                                                                                  : "ShortDeadlines";
+                         });
+
+TEST_F(Sites, WhatThePagesDoNotAllowIsTurnedDownWholeAndTheOldStays) {
+  twoHosts(always(answerText(200, "", "ok")));
+  const Config running = parsed(config);
+  const std::vector<std::pair<const char*, std::function<void(json&)>>> wrong = {
+      {"an unknown effect", [](json& c) { c["settings"]["grades"][0]["effect"] = "sometimes"; }},
+      {"an unknown group", [](json& c) { c["settings"]["grades"][2]["group"] = "planet"; }},
+      {"a negative limit", [](json& c) { c["limits"]["sockets"] = -1; }},
+      {"a negative window", [](json& c) { c["settings"]["grades"][2]["windowNs"] = -1; }},
+      {"no time to give up", [](json& c) { c["settings"]["grades"][0]["giveUpNs"] = 0; }},
+      {"a cold share over the whole", [](json& c) { c["settings"]["rules"]["coldShare"] = 1.5; }},
+      {"a key of the wrong type", [](json& c) { c["settings"]["grades"][1]["aimNs"] = "soon"; }},
+      {"classes that are no list", [](json& c) { c["settings"]["grades"] = 7; }},
+      {"two classes of one name", [](json& c) { c["settings"]["grades"][1]["name"] = "read"; }},
+      {"no class", [](json& c) { c["settings"]["grades"] = json::array(); }},
+      {"no attempt", [](json& c) { c["settings"]["ceilings"]["maxAttempts"] = 0; }},
+      {"no time for connecting", [](json& c) { c["settings"]["ceilings"]["connectTimeoutNs"] = 0; }},
+  };
+  for (const auto& [what, spoil] : wrong) {
+    json bad = config;
+    spoil(bad);
+    EXPECT_THROW(parseConfig(
+                     bad, [](const char*) { return nullptr; }, &running),
+                 BadConfig)
+        << what;
+    EXPECT_THROW(parsed(bad), BadConfig) << what << ", at the start";
+  }
+  EXPECT_EQ(ask(text("read")).result_int(), 200u);
+}
+
+TEST_F(Sites, WhatIsOddButAllowedIsServed) {
+  grade(0)["aimNs"] = grade(0)["giveUpNs"] = 5'000'000;  // shorter than the margin of an answer
+  grade(2)["windowNs"] = 1;
+  twoHosts(always(answerText(200, "", "ok")));
+  EXPECT_EQ(ask(text("read")).result_int(), 503u) << "an answer in time, though none can be served";
+  EXPECT_EQ(ask(text("put")).result_int(), 200u);
+  EXPECT_EQ(ask(text("write")).result_int(), 200u);
+}
+
+TEST_F(Sites, OneClassAloneIsServedAndOneThatVanishesIsAnswered) {
+  twoHosts(always(answerText(200, "", "ok")));
+  EXPECT_EQ(ask(text("put")).result_int(), 200u);
+  config["settings"]["grades"] = json::array({classJson("read", "retryable")});
+  gateway->reload(parsed(config));
+  EXPECT_EQ(ask(text("read")).result_int(), 200u);
+  EXPECT_EQ(ask(text("put")).result_int(), 404u);
+}
+
+}  // namespace
+}  // namespace cairnjunction::testing
