Tests: an upgrade taken back, and SIGTERM twice with SIGHUP before a first list

The hand-over was tested in one direction only. Both hold: no connection is refused or reset in either, and the signals end the process with 0.

--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -101,9 +101,9 @@
   std::remove(path.c_str());
 }
 
-// An upgrade: a second process beside the first, at the same address. Connections are opened all the while,
-// each with one request; none may be refused or reset.
-TEST(Program, AnUpgradeLosesNoConnection) {
+// An upgrade: a second process beside the first, at the same address; then one of the two is told to end.
+// Connections are opened all the while, each with one request; none may be refused or reset.
+void upgrade(bool takenBack) {
   asio::io_context io;
   const auto freeAddress = [&] { return tcp::acceptor(io, loopback()).local_endpoint(); };
   const tcp::endpoint clients = freeAddress(), first = freeAddress(), second = freeAddress();
@@ -156,19 +156,38 @@
   }));
   EXPECT_TRUE(ready(first)) << "it serves on until it is told to stop";
   for (int i = 0; i < 50; ++i) one();
-  kill(before, SIGTERM);
+  const pid_t ends = takenBack ? after : before, stays = takenBack ? before : after;
+  kill(ends, SIGTERM);
   int status = 0;
   ASSERT_TRUE(until([&] {
     one();
-    return waitpid(before, &status, WNOHANG) == before;
+    return waitpid(ends, &status, WNOHANG) == ends;
   }));
   EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
   for (int i = 0; i < 50; ++i) one();
-  kill(after, SIGTERM);
-  EXPECT_EQ(exitCode(after), 0);
+  kill(stays, SIGTERM);
+  EXPECT_EQ(exitCode(stays), 0);
   std::filesystem::remove_all(folder);
 }
 
+TEST(Program, AnUpgradeLosesNoConnection) { upgrade(false); }
+TEST(Program, AnUpgradeThatIsTakenBackLosesNoConnection) { upgrade(true); }
+
+TEST(Program, SigtermTwiceWithAHangupBetweenEndsItWithZero) {
+  asio::io_context io;
+  FakeDiscovery discovery(io);
+  discovery.failing = true;  // it never tells a list
+  const std::string path = ::testing::TempDir() + "twice_config_" + std::to_string(getpid()) + ".json";
+  json config = configJson();
+  config["discovery"] = textOf(discovery.peer.endpoint);
+  std::ofstream(path) << config;
+  const pid_t pid = run({"GW_CONFIG=" + path});
+  ASSERT_TRUE(runUntil(io, [&] { return !discovery.targets.empty(); }));
+  for (const int signal : {SIGTERM, SIGHUP, SIGTERM}) kill(pid, signal);
+  EXPECT_EQ(exitCode(pid), 0);
+  std::remove(path.c_str());
+}
+
 TEST(Program, AnAddressThatCannotBeHadEndsTheStart) {
   asio::io_context io;
   tcp::acceptor held(io, loopback());
