--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -71,6 +71,12 @@
 
 enum class Leaving { close, halfClose, reset };
 enum class Ahead { nothing, request, much };
+std::string nameOf(Leaving l) {
+  return l == Leaving::close ? "ByClose" : l == Leaving::halfClose ? "ByHalfClose" : "ByReset";
+}
+std::string nameOf(Ahead a) {
+  return a == Ahead::nothing ? "" : a == Ahead::request ? "WithARequestAhead" : "WithMuchAhead";
+}
 
 class Leavings : public Crossings, public ::testing::WithParamInterface<std::tuple<Leaving, Ahead>> {
  protected:
@@ -131,10 +137,11 @@
   EXPECT_EQ(reached.size(), 2u) << "the first and the last";
 }
 
-INSTANTIATE_TEST_SUITE_P(Crossings, Leavings,
-                         ::testing::Combine(::testing::Values(Leaving::close, Leaving::halfClose,
-                                                              Leaving::reset),
-                                            ::testing::Values(Ahead::nothing, Ahead::request, Ahead::much)));
+INSTANTIATE_TEST_SUITE_P(
+    Crossings, Leavings,
+    ::testing::Combine(::testing::Values(Leaving::close, Leaving::halfClose, Leaving::reset),
+                       ::testing::Values(Ahead::nothing, Ahead::request, Ahead::much)),
+    [](const auto& tested) { return nameOf(std::get<0>(tested.param)) + nameOf(std::get<1>(tested.param)); });
 
 class PausedUploads : public Crossings, public ::testing::WithParamInterface<Leaving> {};
 
@@ -170,7 +177,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Crossings, PausedUploads,
-                         ::testing::Values(Leaving::close, Leaving::halfClose, Leaving::reset));
+                         ::testing::Values(Leaving::close, Leaving::halfClose, Leaving::reset),
+                         [](const auto& tested) { return nameOf(tested.param); });
 
 TEST_F(Crossings, AClientThatLeavesWhileItsConnectionComesUpIsNotSentOn) {
   config["settings"]["ceilings"]["cancel"] = false;
