Clients: after an answer for its form a connection lingers its whole second

Cause: the lingering close took every connection without a proper request yet for one that is late, and ended it after 0.3 s; a peer that still wrote then met a reset, which may overtake its 400. Only what is near the 3 s from the connect is cut short now. Test: a peer that writes on 0.5 s after its 400 sees no reset (the old limit: 0.3 s).

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -35,7 +35,7 @@
 constexpr auto kBodyGrace = std::chrono::milliseconds(1000), kBodyLate = std::chrono::milliseconds(300);
 constexpr auto kSweep = std::chrono::milliseconds(100);        // slow and idle connections are looked for
 constexpr auto kLinger = std::chrono::milliseconds(1000);      // for a client to close after our side ended;
-constexpr auto kLingerFirst = std::chrono::milliseconds(300);  // one with no proper request is over sooner
+constexpr auto kLingerFirst = std::chrono::milliseconds(300);  // late, one with no proper request goes sooner
 constexpr std::size_t kLingerBytes = 4 << 20;                  // read out meanwhile; more costs too much time
 constexpr auto kAcceptAgain = std::chrono::milliseconds(20);   // when no descriptor was left
 // A connection that came just before the listener closed may have its first request under way.
@@ -151,7 +151,10 @@
       case State::uploading: return watching_ && tooSlow(now);
       case State::answering:  // a client that doesn't read
         return (!download_ || writing_) && now - since_ > server_->limits_.slow;
-      case State::lingering: return now - since_ > (first_ ? kLingerFirst : kLinger);
+      case State::lingering:
+        if (first_ && now - connected_ > server_->limits_.first + kBodyLate)
+          return now - since_ > kLingerFirst;
+        return now - since_ > kLinger;
       default: return false;
     }
   }
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -264,6 +264,18 @@
   meet(c);
 }
 
+TEST_F(Closes, AfterAnAnswerForItsFormAreNoReset) {
+  addHost("a", always(ok()));
+  start();
+  PlainClient c(io, gateway->listening());
+  c.send("NONSENSE\r\n\r\n");
+  ASSERT_TRUE(until([&] { return !c.open(); }));
+  EXPECT_NE(c.come.find(" 400 "), std::string::npos);
+  const auto answered = Clock::now();
+  ASSERT_TRUE(until([&] { return Clock::now() > answered + 500ms; }));
+  meet(c);  // it was still writing
+}
+
 TEST_F(Closes, TheDescriptorsOfThoseThatMadeRoomAreBounded) {
   waits.clients.connections = 4;
   addHost("a", always(ok()));
