Names: graceful shutdown of the gateway, connection draining of a host

Gateway::drain ended the gateway while hosts drain in another sense, and HostPool::retire was connection draining. Behaviour unchanged.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -62,7 +62,7 @@
   Gateway gateway(io, config, {}, log);
   reloadAtEach(hangups, gateway, config, environment, log);
   stops.async_wait([&](boost::system::error_code ec, int) {
-    if (!ec) gateway.drain([&] { io.stop(); });
+    if (!ec) gateway.shutDown([&] { io.stop(); });
   });
   io.run();
   return 0;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -32,7 +32,8 @@
 
 // The module's clock at our start: hosts that started up to a day before have a time of their own on it.
 constexpr Time kClockStart = std::chrono::hours(24);
-// Of the descriptors: listener, discovery, event loop, standard streams and what the libraries open.
+// Of the descriptors: listener, discovery, event loop, standard streams, what the libraries open, and the few
+// connections that linger beyond their limit.
 constexpr std::size_t kOwnDescriptors = 32;
 // Beside another process: the first look at discovery is waited for so long, and so long it takes that
 // process at least to see us and make room.
@@ -151,7 +152,7 @@
            }},
           waits.discovery),
       waker_(io),
-      drainTimer_(io),
+      shutDownTimer_(io),
       openTimer_(io),
       clients_(io,
                {.connections = std::min(waits.clients.connections, shareOf(config.sockets, 3, 5)),
@@ -241,7 +242,7 @@
 // In the fleet as the configuration wants it. A place that is another now is left and taken anew.
 void Gateway::join(const Config& config) {
   groupSize_ = config.module.groupSize;
-  if (draining_) return;
+  if (shuttingDown_) return;
   if (fleet_ && fleet_->serves(config)) fleet_->reload(config);
   else {
     if (fleet_) fleet_->leave(false);
@@ -263,7 +264,7 @@
 }
 
 void Gateway::open() {
-  if (clients_.takesClients() || draining_) return;
+  if (clients_.takesClients() || shuttingDown_) return;
   clients_.listen(listen_, management_.has_value());
   if (twin_ && twin_->present()) Twin::steerToLatest(clients_.listener());
 }
@@ -301,7 +302,7 @@
   for (const ListedHost& host : list.hosts) {
     const HostId id = balancer_.findHost(host.uid);
     if (host.endpoint.port() != 0) hosts_.setEndpoint(id, host.endpoint);
-    if (host.state != HostState::serving) hosts_.retire(id);
+    if (host.state != HostState::serving) hosts_.drain(id);
   }
   ready_ = ready_ || !list.hosts.empty() || kind != ListKind::restored;
   if (kind != ListKind::restored && !clients_.takesClients()) {
@@ -562,19 +563,19 @@
   });
 }
 
-// --- Drain ----------------------------------------------------------------------------------------------
+// --- Graceful shutdown -----------------------------------------------------------------------------------
 
-void Gateway::drain(std::function<void()> done) {
-  if (draining_) return;
-  draining_ = true;
-  drained_ = std::move(done);
+void Gateway::shutDown(std::function<void()> done) {
+  if (shuttingDown_) return;
+  shuttingDown_ = true;
+  down_ = std::move(done);
   openTimer_.cancel();
   if (fleet_) fleet_->leave(twin_ && twin_->present());
   clients_.lastAnswers();
-  drainTimer_.expires_after(kAcceptOn);
-  drainTimer_.async_wait([this](error_code ec) {
+  shutDownTimer_.expires_after(kAcceptOn);
+  shutDownTimer_.async_wait([this](error_code ec) {
     if (ec) return;
-    clients_.onEmpty = [this] { drained_(); };
+    clients_.onEmpty = [this] { down_(); };
     clients_.stopAccepting();
   });
 }
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -51,8 +51,8 @@
   // tells more.
   void reload(const Config& config);
   void reloadFailed() { statistics_.reconfigured(false); }
-  // Finishes what was taken, then closes all and calls `done`.
-  void drain(std::function<void()> done);
+  // A graceful shutdown: finishes what was taken, then closes all and calls `done`.
+  void shutDown(std::function<void()> done);
 
  private:
   struct Exchange {  // a request under way
@@ -88,7 +88,7 @@
               std::shared_ptr<BodyStream> body = nullptr, std::optional<std::uint64_t> length = {});
   ClientServer::Answered counting(const Exchange& exchange, Statistics::End end);
   Statistics::Gauges gauges() const;
-  bool takesClients() const { return ready_ && !draining_ && clients_.takesClients(); }
+  bool takesClients() const { return ready_ && !shuttingDown_ && clients_.takesClients(); }
   void take(const ochrehill::Settings& settings);
   void join(const Config& config);
   void divide();
@@ -114,12 +114,12 @@
   std::unordered_map<ExchangeId, ochrehill::RequestId> byClient_;
   std::vector<ochrehill::RequestId> over_;  // may be dropped once the actions are done
   std::deque<AttemptEnd> ends_;             // raised while actions are carried out
-  boost::asio::steady_timer waker_, drainTimer_, openTimer_;
+  boost::asio::steady_timer waker_, shutDownTimer_, openTimer_;
   ochrehill::Time wakeAt_{};
   ochrehill::RequestId lastRequest_ = 0;
-  std::function<void()> drained_;
+  std::function<void()> down_;
   std::uint32_t groupSize_ = 1;  // as configured
-  bool carrying_ = false, ready_ = false, draining_ = false;
+  bool carrying_ = false, ready_ = false, shuttingDown_ = false;
   Statistics statistics_;
   std::optional<Twin> twin_;
   std::optional<FleetLink> fleet_;
--- a/src/net/host_pool.cpp
+++ b/src/net/host_pool.cpp
@@ -493,7 +493,7 @@
   connection->end(Outcome::moot);
 }
 
-void HostPool::retire(HostId host) {
+void HostPool::drain(HostId host) {
   closeIdle(host);
   for (const auto& [key, connection] : busy_)
     if (connection->host == host && connection->phase == Connection::Phase::connecting) {
--- a/src/net/host_pool.hpp
+++ b/src/net/host_pool.hpp
@@ -69,8 +69,8 @@
              ochrehill::Duration begin = ochrehill::Duration::max());
   void uploaded(AttemptKey key, ochrehill::Duration limit);
   void cancel(AttemptKey key);
-  void drop(AttemptKey key);            // if nothing of it was written yet
-  void retire(ochrehill::HostId host);  // it takes nothing new: what is under way to it may end
+  void drop(AttemptKey key);           // if nothing of it was written yet
+  void drain(ochrehill::HostId host);  // it takes nothing new: what is under way to it may end
   void closeIdle(ochrehill::HostId host);
   void stop();  // closes all without a word
   void setTimes(ochrehill::Duration connectTimeout, ochrehill::Duration idleClose);
