--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -54,6 +54,15 @@
   tcp::socket socket_;
 };
 
+enum class Leaving { close, halfClose, reset };
+enum class Ahead { nothing, request, much };
+std::string nameOf(Leaving l) {
+  return l == Leaving::close ? "ByClose" : l == Leaving::halfClose ? "ByHalfClose" : "ByReset";
+}
+std::string nameOf(Ahead a) {
+  return a == Ahead::nothing ? "" : a == Ahead::request ? "WithARequestAhead" : "WithMuchAhead";
+}
+
 class Crossings : public GatewayTest {
  protected:
   static void spinPast(Clock::time_point at) {  // the loop does not run meanwhile
@@ -64,29 +73,47 @@
   void waitLong() {  // no time limit ends what a test waits for
     for (auto& grade : config["settings"]["grades"]) grade["giveUpNs"] = grade["aimNs"] = 600'000'000'000;
   }
+  static void leave(Client& c, Leaving how) {
+    switch (how) {
+      case Leaving::close: return c.close();
+      case Leaving::halfClose: return c.halfClose();
+      case Leaving::reset: return c.reset();
+    }
+  }
+  // The second of a key waits for its turn while its client leaves, and may not be sent on any more.
+  void leaveInTurn(const std::string& kind, const std::string& body, const std::string& ahead, Leaving how) {
+    waitLong();
+    keepTurns(kind == "read" ? 0 : 1);
+    std::shared_ptr<PeerConnection> held;
+    addHost("a", [&](PeerConnection& c, std::size_t n) {
+      if (n == 0) held = c.shared_from_this();
+      else c.reply(ok());
+    });
+    start();
+    const std::string key = "Cookie: obj=1\r\n";
+    auto first = client(), second = client();
+    first->send(text(kind, key));
+    ASSERT_TRUE(until([&] { return held != nullptr; }));
+    second->send(text(kind, key, body) + ahead);
+    const auto sent = Clock::now();
+    ASSERT_TRUE(until([&] { return Clock::now() > sent + 100ms; }));
+    leave(*second, how);
+    const auto left = Clock::now();
+    ASSERT_TRUE(until([&] { return Clock::now() > left + 300ms; }));  // the operators' term
+    held->reply(ok());
+    ASSERT_TRUE(until([&] { return first->answers.size() == 1; }));
+    EXPECT_EQ(ask(text(kind, key)).result_int(), 200u);
+    EXPECT_EQ(reached.size(), 2u) << "the first and the last";
+    EXPECT_EQ(hosts[0]->connections.size(), 1u)
+        << "nothing of it was sent, or its connection had been closed";
+  }
   std::string ok(const std::string& body = "ok") { return answerText(200, "", body); }
 };
 
 // --- A client leaves while its request waits ------------------------------------------------------------
 
-enum class Leaving { close, halfClose, reset };
-enum class Ahead { nothing, request, much };
-std::string nameOf(Leaving l) {
-  return l == Leaving::close ? "ByClose" : l == Leaving::halfClose ? "ByHalfClose" : "ByReset";
-}
-std::string nameOf(Ahead a) {
-  return a == Ahead::nothing ? "" : a == Ahead::request ? "WithARequestAhead" : "WithMuchAhead";
-}
-
 class Leavings : public Crossings, public ::testing::WithParamInterface<std::tuple<Leaving, Ahead>> {
  protected:
-  static void leave(Client& c) {
-    switch (std::get<0>(GetParam())) {
-      case Leaving::close: return c.close();
-      case Leaving::halfClose: return c.halfClose();
-      case Leaving::reset: return c.reset();
-    }
-  }
   std::string ahead() {
     switch (std::get<1>(GetParam())) {
       case Ahead::nothing: return "";
@@ -108,33 +135,13 @@
   auto c = client();
   c->send(text("read") + ahead());
   ASSERT_TRUE(until([&] { return reached.size() == 1; }));
-  leave(*c);
+  leave(*c, std::get<0>(GetParam()));
   EXPECT_TRUE(until([&] { return hosts[0]->connections[0]->closedByPeer; }));
   EXPECT_EQ(reached.size(), 1u) << "what was sent ahead went with its client";
 }
 
 TEST_P(Leavings, KeepAWaitingRequestFromBeingSent) {
-  waitLong();
-  keepTurns(0);
-  std::shared_ptr<PeerConnection> held;
-  addHost("a", [&](PeerConnection& c, std::size_t n) {
-    if (n == 0) held = c.shared_from_this();
-    else c.reply(ok());
-  });
-  start();
-  auto first = client(), second = client();
-  first->send(text("read", "Cookie: obj=1\r\n"));
-  ASSERT_TRUE(until([&] { return held != nullptr; }));
-  second->send(text("read", "Cookie: obj=1\r\n") + ahead());
-  const auto sent = Clock::now();
-  ASSERT_TRUE(until([&] { return Clock::now() > sent + 50ms; }));  // it waits for its turn
-  leave(*second);
-  const auto left = Clock::now();
-  ASSERT_TRUE(until([&] { return Clock::now() > left + 300ms; }));  // the operators' term
-  held->reply(ok());
-  ASSERT_TRUE(until([&] { return first->answers.size() == 1; }));
-  EXPECT_EQ(ask(text("read", "Cookie: obj=1\r\n")).result_int(), 200u);
-  EXPECT_EQ(reached.size(), 2u) << "the first and the last";
+  leaveInTurn("read", "", ahead(), std::get<0>(GetParam()));
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -148,32 +155,7 @@
 // Its body waits for its turn, too: a part of it here, the rest in the socket, and the client's end behind
 // that.
 TEST_P(PausedUploads, AreNotSentOnceTheirClientHasLeft) {
-  waitLong();
-  keepTurns(1);
-  std::shared_ptr<PeerConnection> held;
-  addHost("a", [&](PeerConnection& c, std::size_t n) {
-    if (n == 0) held = c.shared_from_this();
-    else c.reply(ok());
-  });
-  start();
-  auto first = client(), second = client();
-  first->send(text("write", "Cookie: obj=1\r\n"));
-  ASSERT_TRUE(until([&] { return held != nullptr; }));
-  second->send(text("write", "Cookie: obj=1\r\n", std::string(kHeldBody + 32'000, 'x')));
-  const auto sent = Clock::now();
-  ASSERT_TRUE(until([&] { return Clock::now() > sent + 100ms; }));  // it waits for its turn
-  switch (GetParam()) {
-    case Leaving::close: second->close(); break;
-    case Leaving::halfClose: second->halfClose(); break;
-    case Leaving::reset: second->reset(); break;
-  }
-  const auto left = Clock::now();
-  ASSERT_TRUE(until([&] { return Clock::now() > left + 300ms; }));
-  held->reply(ok());
-  ASSERT_TRUE(until([&] { return first->answers.size() == 1; }));
-  EXPECT_EQ(ask(text("write", "Cookie: obj=1\r\n")).result_int(), 200u);
-  EXPECT_EQ(reached.size(), 2u) << "the first and the last";
-  EXPECT_EQ(hosts[0]->connections.size(), 1u) << "nothing of it was sent, or its connection had been closed";
+  leaveInTurn("write", std::string(kHeldBody + 32'000, 'x'), "", GetParam());
 }
 
 INSTANTIATE_TEST_SUITE_P(Crossings, PausedUploads,
