One place for an endpoint as text: five copies, in the gateway and the rig

Discovery, the operators' client, the shown settings, the platform and the relay each joined address and port themselves. A header-only template serves TCP and UDP. Behaviour unchanged.

--- a/src/lab/platform.cpp
+++ b/src/lab/platform.cpp
@@ -119,10 +119,6 @@
 
 Time clockNow() { return std::chrono::steady_clock::now().time_since_epoch() + kOffset; }
 
-std::string textOf(const tcp::endpoint& e) {
-  return e.address().to_string() + ":" + std::to_string(e.port());
-}
-
 std::string hex(std::uint64_t id) {
   char text[20];
   std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(id));
--- a/src/lab/platform.hpp
+++ b/src/lab/platform.hpp
@@ -13,6 +13,7 @@
 #include "lab/checker.hpp"
 #include "lab/draw.hpp"
 #include "lab/scenario.hpp"
+#include "net/endpoint_text.hpp"
 
 namespace hollyrun::lab {
 
@@ -22,7 +23,7 @@
 
 /// The rig's clock: nanoseconds that never go back, well above zero, for zero reads as "long past".
 Time clockNow();
-std::string textOf(const tcp::endpoint& endpoint);
+using cairnjunction::textOf;
 /// A request's id as it stands on the wire: 16 hexadecimal digits.
 std::string hex(std::uint64_t id);
 
--- a/src/lab/relay.cpp
+++ b/src/lab/relay.cpp
@@ -22,10 +22,6 @@
 
 }  // namespace
 
-std::string textOf(const udp::endpoint& e) {
-  return e.address().to_string() + ":" + std::to_string(e.port());
-}
-
 struct Relay::Door {
   explicit Door(asio::io_context& io) : socket(io, udp::endpoint(asio::ip::address_v4::loopback(), 0)) {
     socket.non_blocking(true);
--- a/src/lab/relay.hpp
+++ b/src/lab/relay.hpp
@@ -11,10 +11,11 @@
 #include <vector>
 
 #include "lab/members.hpp"
+#include "net/endpoint_text.hpp"
 
 namespace hollyrun::lab {
 
-std::string textOf(const boost::asio::ip::udp::endpoint& endpoint);
+using cairnjunction::textOf;
 
 class Relay {
  public:
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "net/endpoint_text.hpp"
+
 namespace cairnjunction {
 namespace {
 
@@ -120,7 +122,7 @@
   if (kind != Kind::list)
     target += "?since=" + std::to_string(*version_) + "&timeout_ms=" + std::to_string(wait.count());
   call_->request = {http::verb::get, target, 11};
-  call_->request.set(http::field::host, server_.address().to_string() + ":" + std::to_string(server_.port()));
+  call_->request.set(http::field::host, textOf(server_));
   call_->start(kind, wait + waits_.answer);
 }
 
--- a/src/net/keys.cpp
+++ b/src/net/keys.cpp
@@ -11,6 +11,7 @@
 #include <set>
 #include <sstream>
 
+#include "net/endpoint_text.hpp"
 #include "net/host_list.hpp"
 
 namespace cairnjunction {
@@ -239,10 +240,7 @@
 }
 
 std::string topValue(std::string_view name, const Config& c) {
-  const auto plainAddress = [](const auto& e) {
-    return e.address().to_string() + ":" + std::to_string(e.port());
-  };
-  const auto address = [&](const auto& e) { return quoted(plainAddress(e)); };
+  const auto address = [](const auto& e) { return quoted(textOf(e)); };
   const MembershipConfig member = c.membership.value_or(MembershipConfig{});
   const ochrehill::Settings& s = c.module;
   const std::map<std::string_view, std::function<std::string()>> values{
@@ -275,7 +273,7 @@
       {"membership.seeds",
        [&] {
          json seeds = json::array();
-         for (const udp::endpoint& seed : member.seeds) seeds.push_back(plainAddress(seed));
+         for (const udp::endpoint& seed : member.seeds) seeds.push_back(textOf(seed));
          return seeds.dump();
        }},
       {"membership.period_ms", [&] { return inMs(member.period); }},
--- a/src/net/ops_client.cpp
+++ b/src/net/ops_client.cpp
@@ -14,6 +14,7 @@
 #include <set>
 #include <stdexcept>
 
+#include "net/endpoint_text.hpp"
 #include "net/host_list.hpp"
 
 namespace cairnjunction {
@@ -59,7 +60,7 @@
     });
   });
   io.run();
-  const std::string whom = at.address().to_string() + ":" + std::to_string(at.port());
+  const std::string whom = textOf(at);
   if (failed) throw std::runtime_error(whom + ": " + failed.message());
   if (response.result() != http::status::ok)
     throw std::runtime_error(
