Pool and exchange: the time to begin is bounded by the deadline, attempts are a count

The guard against an overflowing sum borrowed the stall limit of bodies, so a bound of 10 s and more was dropped; kept to the attempt's own deadline it cannot overflow, and the second minimum at the dial goes. Below 10 s nothing changes; above, the bound now holds, too (no test: it would take eleven seconds). Attempts are numbered from 0, so an exchange counts them instead of listing and copying them. unread() served twice, in the clients' and the hosts' connections; it is one function. The parameter beginWithin no longer hides begin().

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -40,8 +40,7 @@
 constexpr auto kAcceptAgain = std::chrono::milliseconds(20);   // when no descriptor was left
 // A connection that came just before the listener closed may have its first request under way.
 constexpr auto kFresh = std::chrono::milliseconds(250);
-// Connections that linger beyond the limit, after they made room: out of the descriptors that nobody else
-// has.
+// Connections that linger beyond the limit, after they made room: of the descriptors that no one else has.
 constexpr std::size_t kLeaving = 8;
 
 }  // namespace
@@ -106,9 +105,9 @@
     watch();
   }
 
-  bool idle() const { return state_ == State::idle && !unread(); }
+  bool idle() const { return state_ == State::idle && !unread(socket_); }
   // A part of a request has come, and nothing waits to be read.
-  bool unfinished() const { return (state_ == State::head || state_ == State::body) && !unread(); }
+  bool unfinished() const { return (state_ == State::head || state_ == State::body) && !unread(socket_); }
   bool lingering() const { return state_ == State::lingering; }
   bool fresh(Clock::time_point now) const { return first_ && now - connected_ <= kFresh; }
   Clock::time_point since() const { return since_; }
@@ -127,11 +126,6 @@
   // docs/connections.md has the table of states and events.
   enum class State { idle, head, body, uploading, waiting, answering, lingering, closed };
 
-  bool unread() const {
-    error_code ec;
-    return socket_.available(ec) > 0 && !ec;
-  }
-
   // Danger: while what was sent ahead fills the buffer, or an upload is paused, nothing is read, and the end
   // of the client's side lies behind bytes that nobody wants yet.
   bool hungUp() {
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -398,11 +398,11 @@
   exchange.ended = true;
   counting(exchange, Statistics::End::failure)(false);
   over_.push_back(id);
-  const std::vector<std::uint32_t> attempts = exchange.attempts;  // the exchange may go with the last of them
+  const std::uint32_t begun = exchange.begun;  // the exchange may go with the last of them
   balancer_.onClientGone(now(), id);
   drainActions();
   // Danger: where attempts may not be cancelled, one that waits for its connection would still be sent.
-  for (const std::uint32_t attempt : attempts) hosts_.drop({id, attempt});
+  for (std::uint32_t attempt = 0; attempt < begun; ++attempt) hosts_.drop({id, attempt});
 }
 
 // The time of an upload runs from its last byte.
@@ -413,7 +413,7 @@
   exchange.taken = true;
   exchange.came = Clock::now();
   statistics_.taken();
-  for (const std::uint32_t attempt : exchange.attempts)
+  for (std::uint32_t attempt = 0; attempt < exchange.begun; ++attempt)
     hosts_.uploaded({known->second, attempt}, exchange.left);
   balancer_.onUploaded(now(), known->second, exchange.left);
   drainActions();
@@ -486,7 +486,7 @@
   if (it == exchanges_.end() || it->second.ended) return;
   Exchange& exchange = it->second;
   ++exchange.out;
-  exchange.attempts.push_back(action.attempt);
+  exchange.begun = action.attempt + 1;
   HttpRequest message = exchange.message;
   // Of an upload under way it is the time from its last byte on.
   const Duration wait = exchange.taken ? action.span : exchange.left;
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -62,11 +62,10 @@
     std::optional<std::uint64_t> length;  // of the upload
     ochrehill::Duration left{};           // from its last byte on
     BodyShare held;
-    std::vector<std::uint32_t> attempts;           // all that were begun
     bool taken = false;                            // its last byte has come,
     std::chrono::steady_clock::time_point came{};  // then
     std::size_t counted = 0;                       // its class in the statistics
-    std::uint32_t out = 0;                         // attempts
+    std::uint32_t begun = 0, out = 0;              // attempts, numbered from 0
     bool ended = false;                            // answered, or its client left
   };
 
--- a/src/net/host_pool.cpp
+++ b/src/net/host_pool.cpp
@@ -111,11 +111,6 @@
     pool->relaying_.erase(shared_from_this());
   }
 
-  bool unread() const {
-    error_code ec;
-    return socket.available(ec) > 0 && !ec;
-  }
-
   // An answer of unknown length. It may pass what is held, and of such a one the first bytes count.
   bool mayGrow() const {
     return parser && parser->is_header_done() && !parser->is_done() && !parser->content_length() &&
@@ -129,7 +124,6 @@
   void connect(const tcp::endpoint& endpoint) {
     // Until the connection is up nothing has been written, so the end of the attempt's own time proves here
     // that it never ran, as the end of the time for connecting does.
-    beginBy = std::min(beginBy, deadline);
     limitDial();
     error_code ec;
     socket.open(endpoint.protocol(), ec);  // fails when no descriptor is left
@@ -382,7 +376,7 @@
     socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code) {
       self->watching = false;
       if (self->phase != Phase::idle) return;
-      if (self->unread()) self->unasked();
+      if (unread(self->socket)) self->unasked();
       self->pool->dropIdle(self);
     });
   }
@@ -437,15 +431,15 @@
   h.endpoint = endpoint;
 }
 
-void HostPool::start(AttemptKey key, HostId host, HttpRequest request, Duration limit, Duration begin) {
-  this->begin(key, host, std::move(request), limit, begin, nullptr);
+void HostPool::start(AttemptKey key, HostId host, HttpRequest request, Duration limit, Duration beginWithin) {
+  begin(key, host, std::move(request), limit, beginWithin, nullptr);
 }
 
 void HostPool::start(AttemptKey key, HostId host, HttpRequest head, std::shared_ptr<BodyStream> upload,
-                     std::optional<std::uint64_t> length, Duration limit, Duration begin) {
+                     std::optional<std::uint64_t> length, Duration limit, Duration beginWithin) {
   if (length) head.content_length(*length);
   else head.chunked(true);
-  this->begin(key, host, std::move(head), limit, begin, std::move(upload));
+  begin(key, host, std::move(head), limit, beginWithin, std::move(upload));
 }
 
 void HostPool::uploaded(AttemptKey key, Duration limit) {
@@ -455,7 +449,7 @@
   it->second->deadline = it->second->sentAt + limit;
 }
 
-void HostPool::begin(AttemptKey key, HostId host, HttpRequest request, Duration limit, Duration begin,
+void HostPool::begin(AttemptKey key, HostId host, HttpRequest request, Duration limit, Duration beginWithin,
                      std::shared_ptr<BodyStream> upload) {
   const auto now = Clock::now();
   std::shared_ptr<Connection> connection = takeIdle(host);
@@ -472,8 +466,7 @@
   connection->held = BodyShare(budget_, 0);
   connection->sentAt = now;
   connection->deadline = now + std::max(limit, Duration::zero());
-  // Danger: far in the future the sum would overflow.
-  connection->beginBy = begin < kStall ? now + begin : Clock::time_point::max();
+  connection->beginBy = now + std::min(connection->deadline - now, beginWithin);
   busy_.emplace(key, connection);
   if (fresh) connection->connect(hostOf(host).endpoint);
   else connection->write();
--- a/src/net/host_pool.hpp
+++ b/src/net/host_pool.hpp
@@ -27,6 +27,12 @@
 
 inline constexpr std::uint32_t kHeaderLimit = 16 << 10;
 
+// Whether bytes wait to be read, also when the event loop has not come to them yet.
+inline bool unread(const boost::asio::ip::tcp::socket& socket) {
+  boost::system::error_code ec;
+  return socket.available(ec) > 0 && !ec;
+}
+
 struct AttemptKey {
   ochrehill::RequestId request = 0;
   std::uint32_t attempt = 0;
@@ -58,15 +64,15 @@
   HostPool& operator=(const HostPool&) = delete;
 
   void setEndpoint(ochrehill::HostId host, const boost::asio::ip::tcp::endpoint& endpoint);
-  // Sends the request, on the latest used idle connection if there is one. Ends exactly once. `begin`: it may
-  // not be written later than so long from now.
+  // Sends the request, on the latest used idle connection if there is one. Ends exactly once. `beginWithin`:
+  // it may not be written later than so long from now.
   void start(AttemptKey key, ochrehill::HostId host, HttpRequest request, ochrehill::Duration limit,
-             ochrehill::Duration begin = ochrehill::Duration::max());
+             ochrehill::Duration beginWithin = ochrehill::Duration::max());
   // The body comes in pieces, in chunks if its length is not known. While it comes, uploaded() sets the
   // limit.
   void start(AttemptKey key, ochrehill::HostId host, HttpRequest head, std::shared_ptr<BodyStream> upload,
              std::optional<std::uint64_t> length, ochrehill::Duration limit,
-             ochrehill::Duration begin = ochrehill::Duration::max());
+             ochrehill::Duration beginWithin = ochrehill::Duration::max());
   void uploaded(AttemptKey key, ochrehill::Duration limit);
   void cancel(AttemptKey key);
   void drop(AttemptKey key);           // if nothing of it was written yet
@@ -92,7 +98,7 @@
   };
 
   void begin(AttemptKey key, ochrehill::HostId host, HttpRequest request, ochrehill::Duration limit,
-             ochrehill::Duration begin, std::shared_ptr<BodyStream> upload);
+             ochrehill::Duration beginWithin, std::shared_ptr<BodyStream> upload);
   Host& hostOf(ochrehill::HostId host);
   std::shared_ptr<Connection> takeIdle(ochrehill::HostId host);
   bool closeOldestIdle();
