Tests: the fixture parses and reloads settings, and crossings share their openings

ManagementTest had reload() and parsed(); crossings and sites wrote them again. They stand in the fixture. A client that was served once, and the loop run past a time, have names.

--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -65,6 +65,15 @@
 
 class Crossings : public GatewayTest {
  protected:
+  ::testing::AssertionResult runPast(Clock::time_point at) {
+    return until([&] { return Clock::now() > at; });
+  }
+  std::shared_ptr<Client> servedClient() {  // connected, and answered once
+    auto c = client();
+    c->send(text("read"));
+    EXPECT_TRUE(until([&] { return c->answers.size() == 1; }));
+    return c;
+  }
   static void spinPast(Clock::time_point at) {  // the loop does not run meanwhile
     while (Clock::now() <= at) {
     }
@@ -96,10 +105,10 @@
     ASSERT_TRUE(until([&] { return held != nullptr; }));
     second->send(text(kind, key, body) + ahead);
     const auto sent = Clock::now();
-    ASSERT_TRUE(until([&] { return Clock::now() > sent + 100ms; }));
+    ASSERT_TRUE(runPast(sent + 100ms));
     leave(*second, how);
     const auto left = Clock::now();
-    ASSERT_TRUE(until([&] { return Clock::now() > left + 300ms; }));  // the operators' term
+    ASSERT_TRUE(runPast(left + 300ms));  // the operators' term
     held->reply(ok());
     ASSERT_TRUE(until([&] { return first->answers.size() == 1; }));
     EXPECT_EQ(ask(text(kind, key)).result_int(), 200u);
@@ -170,11 +179,11 @@
   auto c = client();
   c->send(text("read"));
   const auto sent = Clock::now();
-  ASSERT_TRUE(until([&] { return Clock::now() > sent + 50ms; }));
+  ASSERT_TRUE(runPast(sent + 50ms));
   c->close();
-  ASSERT_TRUE(until([&] { return Clock::now() > sent + 100ms; }));
+  ASSERT_TRUE(runPast(sent + 100ms));
   hosts[0]->resume();
-  ASSERT_TRUE(until([&] { return Clock::now() > sent + 1500ms; }));  // it would have come up after 1 s
+  ASSERT_TRUE(runPast(sent + 1500ms));  // it would have come up after 1 s
   EXPECT_TRUE(reached.empty());
 }
 
@@ -192,7 +201,7 @@
     EXPECT_FALSE(c.open());
     EXPECT_FALSE(c.reset) << "a reset would overtake what the client has not read yet";
     const auto at = Clock::now();
-    ASSERT_TRUE(until([&] { return Clock::now() > at + 20ms; }));
+    ASSERT_TRUE(runPast(at + 20ms));
     EXPECT_FALSE(c.open());
     EXPECT_FALSE(c.reset);
     EXPECT_EQ(reached.size(), before);
@@ -254,7 +263,7 @@
   ASSERT_TRUE(until([&] { return !c.open(); }));
   EXPECT_NE(c.come.find(" 400 "), std::string::npos);
   const auto answered = Clock::now();
-  ASSERT_TRUE(until([&] { return Clock::now() > answered + 500ms; }));
+  ASSERT_TRUE(runPast(answered + 500ms));
   meet(c);  // it was still writing
 }
 
@@ -284,7 +293,7 @@
   bool done = false;
   gateway->shutDown([&] { done = true; });
   const auto asked = Clock::now();
-  ASSERT_TRUE(until([&] { return Clock::now() > asked + kAcceptOn + 100ms; }));
+  ASSERT_TRUE(runPast(asked + kAcceptOn + 100ms));
   EXPECT_FALSE(done);
   ASSERT_TRUE(until([&] { return !c.open(); }));
   EXPECT_FALSE(c.reset);
@@ -296,9 +305,7 @@
 TEST_F(Crossings, AClientThatGoesOnSendingIsAnsweredUntilItsConnectionEnds) {
   addHost("a", always(ok()));
   start();
-  auto c = client();
-  c->send(text("read"));
-  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  auto c = servedClient();
   bool done = false;
   gateway->shutDown([&] { done = true; });
   c->send(text("read"));
@@ -336,12 +343,10 @@
 TEST_F(Crossings, ASettingsChangeDuringTheStopDisturbsNothing) {
   addHost("a", always(ok()));
   start();
-  auto c = client();
-  c->send(text("read"));
-  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  auto c = servedClient();
   bool done = false;
   gateway->shutDown([&] { done = true; });
-  gateway->reload(parseConfig(config, [](const char*) { return nullptr; }));
+  reload();
   c->send(text("read"));
   ASSERT_TRUE(until([&] { return c->answers.size() == 2; }));
   EXPECT_TRUE(until([&] { return done; }));
@@ -521,7 +526,7 @@
   pool.setEndpoint(0, host.endpoint);
   pool.start({1, 0}, 0, get(), 20s, 100ms);
   const auto began = Clock::now();
-  ASSERT_TRUE(until([&] { return Clock::now() > began + 50ms; }));
+  ASSERT_TRUE(runPast(began + 50ms));
   host.resume();  // it comes up a second after it was dialled
   ASSERT_TRUE(until([&] { return !ends.empty(); }));
   EXPECT_EQ(ends[0].outcome, ochrehill::Outcome::connectFailed);
@@ -550,7 +555,7 @@
   auto c = client();
   c->send(text("read"));
   const auto sent = Clock::now();
-  ASSERT_TRUE(until([&] { return Clock::now() > sent + 50ms; }));
+  ASSERT_TRUE(runPast(sent + 50ms));
   discovery.push(
       {{"all", false},
        {"targets", {target("s-0", hosts[0]->endpoint), target("s-1", hosts[1]->endpoint, "a", "DRAINING")}}});
@@ -558,7 +563,7 @@
   hosts[1]->resume();  // it would come up a second after it was dialled
   ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
   EXPECT_EQ(c->answers[0].result_int(), 200u);
-  ASSERT_TRUE(until([&] { return Clock::now() > sent + 1500ms; }));
+  ASSERT_TRUE(runPast(sent + 1500ms));
   EXPECT_EQ(reached, std::vector<std::string>{"s-0"});
 }
 
@@ -578,11 +583,11 @@
   c->send(text("put"));
   ASSERT_TRUE(until([&] { return reached.size() == 1; }));
   const auto sent = Clock::now();
-  ASSERT_TRUE(until([&] { return Clock::now() > sent + 200ms; }));
+  ASSERT_TRUE(runPast(sent + 200ms));
   hosts[reached[0] == "s-0" ? 1 : 0]->resume();
   ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
   EXPECT_EQ(c->answers[0].result_int(), 502u);
-  ASSERT_TRUE(until([&] { return Clock::now() > sent + 1500ms; }));
+  ASSERT_TRUE(runPast(sent + 1500ms));
   EXPECT_EQ(reached.size(), 1u);
 }
 
@@ -593,7 +598,7 @@
   c->send(text("put"));
   ASSERT_TRUE(until([&] { return held != nullptr; }));
   config["settings"]["grades"][2]["windowNs"] = 1;
-  gateway->reload(parseConfig(config, [](const char*) { return nullptr; }));
+  reload();
   held->reset();
   ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
   EXPECT_EQ(c->answers[0].result_int(), 200u) << "what was taken keeps the class that it came with";
@@ -608,7 +613,7 @@
   ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
   other.list = json::array({discovery.list[0]});  // of the same version, and never told of the second
   config["discovery"] = textOf(other.peer.endpoint);
-  gateway->reload(parseConfig(config, [](const char*) { return nullptr; }));
+  reload();
   EXPECT_EQ(ask(text("read")).result_int(), 200u) << "the list held stays until then";
   ASSERT_TRUE(until([&] { return other.held.size() == 1; }));
   reached.clear();
@@ -623,7 +628,7 @@
   other.list = discovery.list;
   discovery.push({{"all", true}, {"targets", json::array()}});
   config["discovery"] = textOf(other.peer.endpoint);
-  gateway->reload(parseConfig(config, [](const char*) { return nullptr; }));
+  reload();
   ASSERT_TRUE(until([&] { return other.held.size() == 1; }));
   for (int i = 0; i < 20; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
 }
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -36,9 +36,11 @@
   void start() {
     config["discovery"] = textOf(discovery.peer.endpoint);
     if (!config.contains("known")) config["known"] = {{"rev", 1}, {"all", true}, {"targets", discovery.list}};
-    gateway =
-        std::make_unique<Gateway>(io, parseConfig(config, [](const char*) { return nullptr; }), waits, log);
+    gateway = std::make_unique<Gateway>(io, parsed(config), waits, log);
   }
+  static const char* noVariables(const char*) { return nullptr; }
+  static Config parsed(const json& file) { return parseConfig(file, noVariables); }
+  void reload() { gateway->reload(parsed(config)); }
   template <class Predicate>
   ::testing::AssertionResult until(Predicate predicate) {
     const auto end = std::chrono::steady_clock::now() + kPatience;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -434,8 +434,7 @@
   config["known"] = nullptr;
   config["discovery"] = textOf(discovery.peer.endpoint);
   config.erase("known");
-  gateway =
-      std::make_unique<Gateway>(io, parseConfig(config, [&](const char*) { return nullptr; }), waits, log);
+  gateway = std::make_unique<Gateway>(io, parsed(config), waits, log);
   ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
   EXPECT_EQ(discovery.targets[0], "/discovery/hosts");
   EXPECT_EQ(ask(text("read")).result_int(), 200u);
@@ -514,7 +513,7 @@
   other.list = discovery.list;
   discovery.peer.stopListening();
   config["discovery"] = textOf(other.peer.endpoint);
-  gateway->reload(parseConfig(config, [](const char*) { return nullptr; }));
+  reload();
   ASSERT_TRUE(until([&] { return other.held.size() == 1; }));
   EXPECT_EQ(other.targets[0].find("since="), std::string::npos) << "its versions may count from elsewhere";
   EXPECT_TRUE(until([&] { return discovery.held[0]->closedByPeer; }));
--- a/tests/management_test.cpp
+++ b/tests/management_test.cpp
@@ -16,9 +16,6 @@
     return c->answers.empty() ? Response{} : c->answers.front();
   }
   Response get(const std::string& target) { return call("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n"); }
-  static const char* noVariables(const char*) { return nullptr; }
-  static Config parsed(const json& file) { return parseConfig(file, noVariables); }
-  void reload() { gateway->reload(parsed(config)); }
   // The value of one figure; -1 if it is not shown.
   long figure(const std::string& name) {
     const std::string text = "\n" + get("/ops/stats").body(), line = "\napp." + name + "=";
--- a/tests/sites_test.cpp
+++ b/tests/sites_test.cpp
@@ -8,9 +8,6 @@
 
 class Sites : public GatewayTest {
  protected:
-  static Config parsed(const json& config) {
-    return parseConfig(config, [](const char*) { return nullptr; });
-  }
   json& grade(std::size_t i) { return config["settings"]["grades"][i]; }
 };
 
@@ -104,10 +101,7 @@
   for (const auto& [what, spoil] : wrong) {
     json bad = config;
     spoil(bad);
-    EXPECT_THROW(parseConfig(
-                     bad, [](const char*) { return nullptr; }, &running),
-                 BadConfig)
-        << what;
+    EXPECT_THROW(parseConfig(bad, noVariables, &running), BadConfig) << what;
     EXPECT_THROW(parsed(bad), BadConfig) << what << ", at the start";
   }
   EXPECT_EQ(ask(text("read")).result_int(), 200u);
@@ -126,7 +120,7 @@
   twoHosts(always(answerText(200, "", "ok")));
   EXPECT_EQ(ask(text("put")).result_int(), 200u);
   config["settings"]["grades"] = json::array({classJson("read", "retryable")});
-  gateway->reload(parsed(config));
+  reload();
   EXPECT_EQ(ask(text("read")).result_int(), 200u);
   EXPECT_EQ(ask(text("put")).result_int(), 404u);
 }
