Dispatch guard: an attempt is admitted, and its deadline made, as its first byte leaves

Cause: the deadline was set where the module decides; the request then waited for its connection, so a server whose SYN was repeated was told 1.0 s more than its client had left. The same mistake elsewhere: an attempt chosen for a warm process was written to the one that had been restarted there meanwhile, past its slow start. Change: DispatchGuard (src/balancer, under policy) is asked before each dial and each first byte with the facts of that moment: client, attempts, time left, drain, restart, repeat by effect, window and group, parallel attempts. It makes X-Deadline-Ms; nothing else writes a request's first byte. What no course of events excuses is a violation: logged with ids, never sent, and in tests it ends the process. Outcome::notSent ends an attempt that says nothing of the server.

--- a/include/hollyrun/balancer.hpp
+++ b/include/hollyrun/balancer.hpp
@@ -109,7 +109,8 @@
   connectFailed,  // never ran
   reset,          // may have run
   cancelled,      // may have run
-  moot            // not sent
+  moot,           // not sent: nobody wants it any more
+  notSent         // not sent, for a reason that says nothing of the host
 };
 
 struct AttemptResult {
--- a/src/balancer/choice.cpp
+++ b/src/balancer/choice.cpp
@@ -258,7 +258,8 @@
         h.lines -= h.lines > 0 ? 1 : 0;
         break;
       case Outcome::cancelled:
-      case Outcome::moot: return;
+      case Outcome::moot:
+      case Outcome::notSent: return;
     }
     h.outcomes += 1;
     outcomeSeen += 1;
@@ -827,8 +828,7 @@
     t.out = false;
     --r.out;
     if (!r.uploading) --h.inflight;
-    if (a.outcome == Outcome::full || a.outcome == Outcome::connectFailed || a.outcome == Outcome::moot)
-      t.mayHaveRun = false;
+    if (provesNotRun(a.outcome)) t.mayHaveRun = false;
     judge(t.host, r, a);
     h.used = now;
     if (t.dialled && a.outcome == Outcome::served) h.dialFails = 0;
--- /dev/null
+++ b/src/balancer/dispatch_guard.hpp
@@ -0,0 +1,112 @@
+// The last check before an attempt touches a record server. The balancer decides early, and what it decided
+// on may have changed by the time a connection is up; the guard is asked again just before the connection is
+// dialled and before the first byte is written, with the facts read at that moment, and it alone says what
+// deadline the server is told. It holds no sockets and reads no clock.
+//
+// A denial is one of two things. Most are crossings that have to be expected: the client left, the time is
+// over, the server began to drain. The others are decisions that no course of events excuses (a fourth
+// attempt, the repeat of what may not be repeated): violations, which are counted apart and end the process
+// where that is asked for, so that tests and soaks find them.
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "hollyrun/balancer.hpp"
+
+namespace hollyrun::balancer {
+
+/// Why an attempt may not take place.
+enum class DenialReason : std::uint8_t {
+  clientGone,  ///< the client has closed its side, or has its answer
+  outOfTime,   ///< nothing is left of the time that the attempt may take
+  windowOver,  ///< a dedup request's repeats are not dropped any more
+  notServing,  ///< the server was told as draining or gone too long ago
+  restarted,   ///< another process runs there than the one that was chosen: its slow start was not asked for
+  tooMany,     ///< violation: more attempts than the settings allow
+  mayRepeat,   ///< violation: an earlier attempt may have run, and the class forbids a second
+  otherGroup,  ///< violation: an earlier attempt may have run where this server does not know of it
+  parallel,    ///< violation: an earlier attempt is out, and the settings allow only one at a time
+};
+inline constexpr std::size_t kDenialReasons = 9;
+
+std::string_view nameOf(DenialReason reason);
+bool isViolation(DenialReason reason);
+
+/// A record server as the last lists told it.
+struct ServerState {
+  HostId id = kNone;
+  std::string zone;
+  std::int64_t cell = 0;
+  Phase phase = Phase::in;
+  Time phaseSince{};  ///< when this process was first told that it is not serving
+  Time upSince{};     ///< its last start; zero = long past
+};
+
+/// What became of a request's attempts, as the sockets showed it.
+class AttemptHistory {
+ public:
+  void wrote(std::uint32_t attempt, const ServerState& server, Time now);
+  void ended(std::uint32_t attempt, Outcome outcome);
+  std::uint32_t written() const { return static_cast<std::uint32_t>(attempts_.size()); }
+
+ private:
+  friend class DispatchGuard;
+  struct Attempt {
+    std::uint32_t number = 0;
+    HostId server = kNone;
+    std::string zone;
+    std::int64_t cell = 0;
+    Time at{};  // of its first byte
+    bool out = true, mayHaveRun = true;
+  };
+  std::vector<Attempt> attempts_;
+};
+
+/// What an attempt was decided under. A reload may have changed the settings since.
+struct AttemptTerms {
+  Effect effect = Effect::fragile;
+  Group group = Group::all;
+  Duration window{};
+  std::uint32_t maxAttempts = 1;
+  bool parallelTries = false;
+  Time serverUpSince{};  ///< of the process that was chosen
+};
+
+/// All that an attempt's admission depends on, read at the moment in which it is asked for.
+struct DispatchFacts {
+  Time now{};
+  bool clientPresent = false;
+  std::uint32_t attempt = 0;  ///< its number, from 0
+  Duration left{};            ///< of the attempt's own time, which is no longer than the client's
+  const AttemptTerms& terms;
+  const ServerState& server;
+  const AttemptHistory& history;
+};
+
+/// The time to tell the server, in whole milliseconds and at least one; or why nothing may be sent.
+struct Admission {
+  std::optional<DenialReason> denied;
+  std::chrono::milliseconds told{};
+};
+
+class DispatchGuard {
+ public:
+  /// Asked before a connection is dialled and before an attempt's first byte; counts what it denies.
+  Admission admit(const DispatchFacts& facts);
+
+  std::uint64_t denied(DenialReason reason) const { return denied_[static_cast<std::size_t>(reason)]; }
+
+ private:
+  static std::optional<DenialReason> judge(const DispatchFacts& facts);
+  static std::optional<DenialReason> judgeRepeat(const DispatchFacts& facts);
+
+  std::array<std::uint64_t, kDenialReasons> denied_{};
+};
+
+}  // namespace hollyrun::balancer
--- a/src/balancer/state.hpp
+++ b/src/balancer/state.hpp
@@ -34,6 +34,11 @@
   return !list || std::find(list->begin(), list->end(), name) != list->end();
 }
 
+inline bool provesNotRun(Outcome outcome) {
+  return outcome == Outcome::full || outcome == Outcome::connectFailed || outcome == Outcome::moot ||
+         outcome == Outcome::notSent;
+}
+
 constexpr std::size_t kTries = 8;  // attempts kept for one request
 
 enum class Health { good, ejected, trial };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/status.hpp>
 #include <charconv>
 #include <cstdio>
+#include <cstdlib>
 #include <utility>
 
 namespace hollyrun::gateway {
@@ -26,6 +27,7 @@
 using balancer::Outcome;
 using balancer::Phase;
 using balancer::RequestId;
+using balancer::ServerState;
 using balancer::Time;
 using boost::system::error_code;
 using Clock = std::chrono::steady_clock;
@@ -139,6 +141,7 @@
       sockets_(config.sockets),
       clientsMost_(waits.clients.connections),
       bodyBytes_(config.memoryBytes / 4),
+      abortOnViolation_(waits.abortOnViolation),
       budget_(std::make_shared<BodyBudget>(bodyBytes_)),
       balancer_(config.module, now()),
       hosts_(
@@ -147,7 +150,10 @@
             ends_.push_back(std::move(end));
             drainActions();
           },
-          budget_, [this](const AttemptKey& attempt) { return stillWanted(attempt); }),
+          budget_,
+          [this](const AttemptKey& attempt, HostId host, HostPool::Step step, Duration left) {
+            return permit(attempt, host, step, left);
+          }),
       discovery_(
           io, config.discovery,
           {[this](const HostList& list) { told(list, list.full ? ListKind::replace : ListKind::update); },
@@ -318,8 +324,13 @@
     entries.push_back(std::move(e));
   }
   balancer_.onHosts(now(), kind, entries);
-  for (const ListedHost& host : list.hosts) {
+  if (kind != ListKind::update)
+    for (ServerState& server : servers_)
+      leaves(server, Phase::out);  // what a whole list leaves out is gone
+  for (std::size_t i = 0; i < list.hosts.size(); ++i) {
+    const ListedHost& host = list.hosts[i];
     const HostId id = balancer_.findHost(host.uid);
+    note(id, entries[i]);
     if (host.endpoint.port() != 0)
       hosts_.setEndpoint(id, host.endpoint);
     if (host.state != HostState::serving)
@@ -336,6 +347,27 @@
   drainActions();
 }
 
+// The time of a drain is that of the first word of it.
+void Gateway::leaves(ServerState& server, Phase phase) {
+  if (server.phase == Phase::in)
+    server.phaseSince = now();
+  server.phase = phase;
+}
+
+void Gateway::note(HostId id, const balancer::HostEntry& entry) {
+  if (servers_.size() <= id)
+    servers_.resize(id + std::size_t{1});
+  ServerState& server = servers_[id];
+  server.id = id;
+  server.zone = entry.zone;
+  server.cell = entry.cell;
+  server.upSince = entry.upSince;
+  if (entry.phase == Phase::in)
+    server.phase = Phase::in;
+  else
+    leaves(server, entry.phase);
+}
+
 void Gateway::received(ClientRequest request) {
   const HttpRequest& message = request.message;
   balancer::Request asked;
@@ -371,7 +403,11 @@
   stripHop(request.message);
   Exchange& exchange = exchanges_[asked.id];
   exchange.client = request.exchange;
-  exchange.counted = statistics_.classOf(settings_.classes[asked.classIndex].name);
+  const balancer::ClassSettings& cls = settings_.classes[asked.classIndex];
+  exchange.counted = statistics_.classOf(cls.name);
+  exchange.terms.effect = cls.effect;
+  exchange.terms.group = cls.group;
+  exchange.terms.window = cls.window;
   exchange.left = left;
   exchange.held = std::move(request.held);
   exchange.upload = std::move(request.upload);
@@ -452,16 +488,51 @@
 
 // Danger: a client may leave in the turn of the event loop in which an attempt of its request begins, and its
 // socket tells so before the loop does.
-bool Gateway::stillWanted(const AttemptKey& attempt) {
-  const auto it = exchanges_.find(attempt.request);
-  if (it == exchanges_.end() || it->second.ended)
+bool Gateway::clientPresent(const Exchange& exchange) {
+  if (exchange.ended)
     return false;
-  if (clients_.present(it->second.client))
+  if (clients_.present(exchange.client))
     return true;
-  departed_.push_back(it->second.client);
+  departed_.push_back(exchange.client);
   return false;
 }
 
+// Each step of an attempt is admitted by the facts of its own moment, and only here.
+HostPool::Permission Gateway::permit(const AttemptKey& attempt, HostId host, HostPool::Step step,
+                                     Duration left) {
+  const auto it = exchanges_.find(attempt.request);
+  if (it == exchanges_.end())
+    return {Outcome::moot, {}};
+  Exchange& exchange = it->second;
+  // The client's time does not run before the last byte of its upload.
+  const Duration counted = exchange.taken ? left : exchange.left;
+  const balancer::Admission admission = guard_.admit({.now = now(),
+                                                      .clientPresent = clientPresent(exchange),
+                                                      .attempt = attempt.attempt,
+                                                      .left = counted,
+                                                      .terms = exchange.decided.at(attempt.attempt),
+                                                      .server = servers_.at(host),
+                                                      .history = exchange.history});
+  if (admission.denied) {
+    if (balancer::isViolation(*admission.denied))
+      violated(*admission.denied, exchange, attempt);
+    const bool gone = *admission.denied == balancer::DenialReason::clientGone;
+    return {gone ? Outcome::moot : Outcome::notSent, {}};
+  }
+  if (step == HostPool::Step::write)
+    exchange.history.wrote(attempt.attempt, servers_.at(host), now());
+  return {std::nullopt, admission.told};
+}
+
+void Gateway::violated(balancer::DenialReason reason, const Exchange& exchange, const AttemptKey& attempt) {
+  log_.write(LogLevel::error, "violation", "an attempt that breaks a rule was decided, and is not sent",
+             {{"rule", std::string(balancer::nameOf(reason))},
+              {"request", exchange.message["X-Request-Id"].to_string()},
+              {"attempt", std::to_string(attempt.attempt)}});
+  if (abortOnViolation_)
+    std::abort();
+}
+
 // The time of an upload runs from its last byte.
 void Gateway::uploaded(ExchangeId client) {
   const auto known = byClient_.find(client);
@@ -487,6 +558,7 @@
     return;
   Exchange& exchange = it->second;
   --exchange.out;
+  exchange.history.ended(end.key.attempt, end.outcome);
   over_.push_back(end.key.request);
   if (end.outcome == Outcome::served && !exchange.ended) {
     stripHop(end.answer);
@@ -563,11 +635,11 @@
   Exchange& exchange = it->second;
   ++exchange.out;
   exchange.begun = action.attempt + 1;
+  balancer::AttemptTerms& terms = exchange.decided.emplace_back(exchange.terms);
+  terms.maxAttempts = settings_.maxAttempts;
+  terms.parallelTries = settings_.parallelTries;
+  terms.serverUpSince = servers_.at(action.host).upSince;
   HttpRequest message = exchange.message;
-  // Of an upload under way it is the time from its last byte on.
-  const Duration wait = exchange.taken ? action.span : exchange.left;
-  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
-  message.set("X-Deadline-Ms", std::to_string(std::max<std::int64_t>(ms, 1)));
   message.version(11);
   message.keep_alive(true);
   if (exchange.upload) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "balancer/dispatch_guard.hpp"
 #include "gateway/client_server.hpp"
 #include "gateway/config.hpp"
 #include "gateway/discovery.hpp"
@@ -35,6 +36,8 @@
   struct Waits {  // shorter in tests only
     ClientServer::Limits clients;
     Discovery::Waits discovery;
+    // A broken rule ends the process, so that a test or a soak finds it; in service it is counted and logged.
+    bool abortOnViolation = false;
   };
 
   // Asks discovery at once, and listens at once too unless another process serves the address: then as soon
@@ -66,6 +69,9 @@
     std::chrono::steady_clock::time_point came{};  // then
     std::size_t counted = 0;                       // its class in the statistics
     std::uint32_t begun = 0, out = 0;              // attempts, numbered from 0
+    balancer::AttemptHistory history;              // of those that were written
+    balancer::AttemptTerms terms;                  // of its class, as the settings were when it came
+    std::vector<balancer::AttemptTerms> decided;   // of each attempt, by its number
     bool ended = false;                            // answered, or its client left
   };
 
@@ -75,9 +81,14 @@
   void received(ClientRequest request);
   boost::beast::http::status describe(const HttpRequest& message, balancer::Request& request) const;
   void clientGone(ExchangeId exchange);
-  bool stillWanted(const AttemptKey& attempt);
+  HostPool::Permission permit(const AttemptKey& attempt, balancer::HostId host, HostPool::Step step,
+                              balancer::Duration left);
+  bool clientPresent(const Exchange& exchange);
+  void violated(balancer::DenialReason reason, const Exchange& exchange, const AttemptKey& attempt);
   void uploaded(ExchangeId exchange);
   void told(const HostList& list, balancer::ListKind kind);
+  void note(balancer::HostId id, const balancer::HostEntry& entry);
+  void leaves(balancer::ServerState& server, balancer::Phase phase);
 
   void drainActions();
   void carryOut(const balancer::Action& action);
@@ -101,13 +112,15 @@
   std::chrono::system_clock::time_point unixStart_;
   balancer::Settings settings_;
   std::unordered_map<std::string, std::uint32_t> classOf_, tenantOf_;
-  std::unordered_map<std::string, boost::asio::ip::tcp::endpoint> endpoints_;
   Log& log_;
   boost::asio::ip::tcp::endpoint listen_;
   std::size_t sockets_, clientsMost_;
   std::size_t bodyBytes_;
+  bool abortOnViolation_;
   std::shared_ptr<BodyBudget> budget_;
   balancer::Balancer balancer_;
+  balancer::DispatchGuard guard_;
+  std::vector<balancer::ServerState> servers_;  // by HostId, as the lists told them
   HostPool hosts_;
   Discovery discovery_;
   std::unordered_map<balancer::RequestId, Exchange> exchanges_;
--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -127,7 +127,23 @@
     limit(std::min(beginBy, sentAt + pool->limits_.connectTimeout), Outcome::connectFailed);
   }
 
+  // Asks for this step of the attempt; false if it has ended instead. The deadline that the server is told is
+  // made here, from the time that is left now: one made earlier does not know how long the connection took.
+  bool permitted(Step step) {
+    if (!pool->permit_)
+      return true;
+    const Permission permission = pool->permit_(key, host, step, deadline - Clock::now());
+    if (permission.denied) {
+      end(*permission.denied, step == Step::write);
+      return false;
+    }
+    request.set("X-Deadline-Ms", std::to_string(permission.told.count()));
+    return true;
+  }
+
   void connect(const tcp::endpoint& endpoint) {
+    if (!permitted(Step::dial))
+      return;
     // Until the connection is up nothing has been written, so the end of the attempt's own time proves here
     // that it never ran, as the end of the time for connecting does.
     limitDial();
@@ -143,13 +159,13 @@
         return self->end(Outcome::connectFailed);
       error_code ignored;
       self->socket.set_option(tcp::no_delay(true), ignored);
-      if (!self->pool->wanted(self->key))
-        return self->end(Outcome::moot, true);
       self->write();
     });
   }
 
   void write() {
+    if (!permitted(Step::write))
+      return;
     phase = Phase::writing;
     if (upload)
       return writeUpload();
@@ -450,11 +466,11 @@
 };
 
 HostPool::HostPool(asio::io_context& io, Limits limits, Ended ended, std::shared_ptr<BodyBudget> budget,
-                   Wanted wanted)
+                   Permit permit)
     : io_(io),
       limits_(limits),
       ended_(std::move(ended)),
-      wanted_(std::move(wanted)),
+      permit_(std::move(permit)),
       budget_(std::move(budget)),
       sweeper_(io) {
   sweep();
@@ -523,8 +539,6 @@
 
 void HostPool::begin(AttemptKey key, HostId host, HttpRequest request, Duration limit, Duration beginWithin,
                      std::shared_ptr<BodyStream> upload) {
-  if (!wanted(key))
-    return ended_({key, host, Outcome::moot, {}, {}});
   const auto now = Clock::now();
   std::shared_ptr<Connection> connection = takeIdle(host);
   const bool fresh = !connection;
--- a/src/gateway/host_pool.hpp
+++ b/src/gateway/host_pool.hpp
@@ -57,12 +57,18 @@
     balancer::Duration idleClose{};       // the host closes idle ones after this at the latest; 0 = never
   };
   using Ended = std::function<void(AttemptEnd)>;  // may be called from within start() and cancel()
-  // Asked just before an attempt dials and before its first byte; one that is not wanted any more ends as
-  // moot.
-  using Wanted = std::function<bool(const AttemptKey&)>;
+  enum class Step { dial, write };
+  struct Permission {
+    std::optional<balancer::Outcome> denied;  // the attempt ends so, and nothing of it was written
+    std::chrono::milliseconds told{};         // else the deadline that goes into the request
+  };
+  // Asked just before an attempt dials and just before its first byte; `left` is of the attempt's own time.
+  // Nothing else lets a request's first byte out.
+  using Permit =
+      std::function<Permission(const AttemptKey&, balancer::HostId, Step, balancer::Duration left)>;
 
   HostPool(boost::asio::io_context& io, Limits limits, Ended ended, std::shared_ptr<BodyBudget> budget,
-           Wanted wanted = nullptr);
+           Permit permit = nullptr);
   ~HostPool();
   HostPool(const HostPool&) = delete;
   HostPool& operator=(const HostPool&) = delete;
@@ -103,7 +109,6 @@
 
   void begin(AttemptKey key, balancer::HostId host, HttpRequest request, balancer::Duration limit,
              balancer::Duration beginWithin, std::shared_ptr<BodyStream> upload);
-  bool wanted(const AttemptKey& key) const { return !wanted_ || wanted_(key); }
   Host& hostOf(balancer::HostId host);
   std::shared_ptr<Connection> takeIdle(balancer::HostId host);
   bool closeOldestIdle();
@@ -114,7 +119,7 @@
   boost::asio::io_context& io_;
   Limits limits_;
   Ended ended_;
-  Wanted wanted_;
+  Permit permit_;
   std::vector<Host> hosts_;
   std::shared_ptr<BodyBudget> budget_;
   std::unordered_map<AttemptKey, std::shared_ptr<Connection>, KeyHash> busy_;
--- a/src/lab/simulation/checker.cpp
+++ b/src/lab/simulation/checker.cpp
@@ -91,7 +91,8 @@
     return;
   Attempt& a = it->second.attempts[attempt];
   a.out = false;
-  if (outcome == Outcome::full || outcome == Outcome::connectFailed || outcome == Outcome::moot)
+  if (outcome == Outcome::full || outcome == Outcome::connectFailed || outcome == Outcome::moot ||
+      outcome == Outcome::notSent)
     a.mayHaveRun = false;
   forget(request);
 }
--- /dev/null
+++ b/tests/dispatch_guard_test.cpp
@@ -0,0 +1,132 @@
+// The guard alone: what it admits, what it denies and which denials are violations.
+#include "balancer/dispatch_guard.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hollyrun::balancer {
+namespace {
+
+using namespace std::chrono_literals;
+
+class Guard : public ::testing::Test {
+ protected:
+  AttemptTerms terms{.effect = Effect::retryable, .group = Group::all, .window = 5s, .maxAttempts = 3};
+  ServerState server{.id = 0, .zone = "a", .cell = 1};
+  AttemptHistory history;
+  DispatchGuard guard;
+  Time now = 100s;
+
+  Admission admit(std::uint32_t attempt, Duration left = 800ms, bool present = true) {
+    return guard.admit({.now = now,
+                        .clientPresent = present,
+                        .attempt = attempt,
+                        .left = left,
+                        .terms = terms,
+                        .server = server,
+                        .history = history});
+  }
+  // An earlier attempt, written a second ago to a server of this zone and cell.
+  void earlier(Outcome outcome, const std::string& zone = "a", std::int64_t cell = 1) {
+    history.wrote(0, {.id = 9, .zone = zone, .cell = cell}, now - 1s);
+    history.ended(0, outcome);
+  }
+  void expectDenied(std::uint32_t attempt, DenialReason reason) {
+    const auto before = guard.denied(reason);
+    EXPECT_EQ(admit(attempt).denied, reason);
+    EXPECT_EQ(guard.denied(reason), before + 1);
+  }
+};
+
+TEST_F(Guard, AdmitsAFirstAttemptAndTellsTheTimeThatIsLeft) {
+  const Admission admission = admit(0, 812'900us);
+  EXPECT_FALSE(admission.denied);
+  EXPECT_EQ(admission.told, 812ms);
+}
+
+TEST_F(Guard, DeniesWhatNobodyWaitsFor) {
+  EXPECT_EQ(admit(0, 800ms, false).denied, DenialReason::clientGone);
+}
+
+TEST_F(Guard, DeniesAnAttemptWithLessThanAMillisecondLeft) {
+  EXPECT_FALSE(admit(0, 1ms).denied);
+  EXPECT_EQ(admit(0, 999us).denied, DenialReason::outOfTime);
+  EXPECT_EQ(admit(0, -1s).denied, DenialReason::outOfTime);
+}
+
+TEST_F(Guard, DeniesAServerThatWasToldAsDrainingHalfASecondAgo) {
+  server.phase = Phase::draining;
+  server.phaseSince = now - 500ms;
+  EXPECT_FALSE(admit(0).denied);
+  server.phaseSince = now - 501ms;
+  expectDenied(0, DenialReason::notServing);
+  server.phase = Phase::out;
+  expectDenied(0, DenialReason::notServing);
+}
+
+TEST_F(Guard, DeniesAnotherProcessThanTheOneThatWasChosen) {
+  server.upSince = 99s;
+  expectDenied(0, DenialReason::restarted);
+  terms.serverUpSince = 99s;
+  EXPECT_FALSE(admit(0).denied);
+}
+
+TEST_F(Guard, DeniesMoreAttemptsThanAllowed) {
+  EXPECT_FALSE(admit(2).denied);
+  expectDenied(3, DenialReason::tooMany);
+}
+
+TEST_F(Guard, DeniesASecondAttemptBesideOneThatIsOut) {
+  history.wrote(0, server, now);
+  expectDenied(1, DenialReason::parallel);
+  terms.parallelTries = true;
+  EXPECT_FALSE(admit(1).denied);
+}
+
+TEST_F(Guard, DeniesTheRepeatOfAFragileRequestThatMayHaveRun) {
+  terms.effect = Effect::fragile;
+  for (const Outcome outcome : {Outcome::error, Outcome::timeout, Outcome::reset, Outcome::cancelled}) {
+    history = {};
+    earlier(outcome);
+    expectDenied(1, DenialReason::mayRepeat);
+  }
+  for (const Outcome outcome : {Outcome::full, Outcome::connectFailed, Outcome::moot, Outcome::notSent}) {
+    history = {};
+    earlier(outcome);
+    EXPECT_FALSE(admit(1).denied) << "it never ran";
+  }
+}
+
+TEST_F(Guard, DeniesTheRepeatOfADedupRequestPastItsWindow) {
+  terms.effect = Effect::dedup;
+  earlier(Outcome::reset);
+  terms.window = 1s;
+  EXPECT_FALSE(admit(1).denied);
+  terms.window = 999ms;
+  expectDenied(1, DenialReason::windowOver);
+}
+
+TEST_F(Guard, DeniesTheRepeatOfADedupRequestOutsideItsGroup) {
+  terms.effect = Effect::dedup;
+  terms.group = Group::zone;
+  earlier(Outcome::timeout, "b", 1);
+  expectDenied(1, DenialReason::otherGroup);
+  terms.group = Group::cell;
+  history = {};
+  earlier(Outcome::timeout, "a", 2);
+  expectDenied(1, DenialReason::otherGroup);
+  terms.group = Group::all;
+  EXPECT_FALSE(admit(1).denied);
+}
+
+TEST_F(Guard, TellsCrossingsFromViolations) {
+  for (const DenialReason crossing :
+       {DenialReason::clientGone, DenialReason::outOfTime, DenialReason::windowOver, DenialReason::notServing,
+        DenialReason::restarted})
+    EXPECT_FALSE(isViolation(crossing)) << nameOf(crossing);
+  for (const DenialReason violation :
+       {DenialReason::tooMany, DenialReason::mayRepeat, DenialReason::otherGroup, DenialReason::parallel})
+    EXPECT_TRUE(isViolation(violation)) << nameOf(violation);
+}
+
+}  // namespace
+}  // namespace hollyrun::balancer
