Tests: the program under failing system calls, by a preloaded library; short writes known red

Measured: with send and sendmsg of at most five bytes no watch on discovery comes up and no client gets an answer within 60 s.

--- /dev/null
+++ b/tests/process_faults_test.cpp
@@ -0,0 +1,199 @@
+// The program under failing, short and interrupted system calls and a wall clock that was moved, by the
+// preloaded fault library. Arguments: the program, the library.
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/mman.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <new>
+#include <set>
+
+#include "lab/faults/fault_page.hpp"
+#include "net_peers.hpp"
+
+namespace hollyrun::gateway::testing {
+namespace {
+
+using lab::FaultPage;
+using lab::FaultyCall;
+using namespace std::chrono_literals;
+
+std::string program, library;  // set once, by main
+
+// A page of faults in a file, shared with the process that is started with it.
+class SharedFaults {
+ public:
+  explicit SharedFaults(const std::string& path) : path_(path) {
+    const int file = ::open(path.c_str(), O_CREAT | O_TRUNC | O_RDWR | O_CLOEXEC, 0600);
+    EXPECT_EQ(::ftruncate(file, sizeof(FaultPage)), 0);
+    void* at = ::mmap(nullptr, sizeof(FaultPage), PROT_READ | PROT_WRITE, MAP_SHARED, file, 0);
+    ::close(file);
+    page_ = new (at) FaultPage();
+  }
+  ~SharedFaults() {
+    ::munmap(page_, sizeof(FaultPage));
+    std::remove(path_.c_str());
+  }
+  SharedFaults(const SharedFaults&) = delete;
+  SharedFaults& operator=(const SharedFaults&) = delete;
+
+  FaultPage* operator->() { return page_; }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+  FaultPage* page_;
+};
+
+class ProcessFaults : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    std::filesystem::create_directories(folder);
+    config["settings"]["ceilings"]["idleCloseNs"] = 60'000'000'000;
+  }
+  void TearDown() override {
+    if (pid > 0 && ::waitpid(pid, nullptr, WNOHANG) == 0) {
+      ::kill(pid, SIGKILL);
+      ::waitpid(pid, nullptr, 0);
+    }
+    std::filesystem::remove_all(folder);
+  }
+
+  template <class Predicate>
+  ::testing::AssertionResult until(const Predicate& predicate) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!predicate()) {
+      if (std::chrono::steady_clock::now() > end)
+        return ::testing::AssertionFailure() << "waited in vain";
+      io.restart();
+      io.run_one_for(20ms);
+    }
+    return ::testing::AssertionSuccess();
+  }
+
+  void addHost(PeerConnection::Script script, std::int64_t bootMs = 0) {
+    const std::string uid = "s-" + std::to_string(hosts.size());
+    hosts.push_back(std::make_unique<Peer>(io, [this, uid, script](PeerConnection& c) {
+      ++served[uid];
+      script(c);
+    }));
+    json entry = target(uid, hosts.back()->endpoint);
+    entry["boot_ms"] = bootMs;
+    discovery.list.push_back(entry);
+  }
+
+  void writeConfig() {
+    const std::string path = folder + "/config.json";
+    std::ofstream(path + ".new") << config;
+    std::filesystem::rename(path + ".new", path);
+  }
+
+  void spawn() {
+    writeConfig();
+    std::vector<std::string> variables = {
+        "GW_CONFIG=" + folder + "/config.json", "TMPDIR=" + folder, "LD_PRELOAD=" + library,
+        std::string(lab::kFaultPageVariable) + "=" + faults.path(),
+        // The library stands before the sanitizers' own, in a build that has them.
+        "ASAN_OPTIONS=verify_asan_link_order=0"};
+    std::vector<char*> environment;
+    for (std::string& variable : variables)
+      environment.push_back(variable.data());
+    environment.push_back(nullptr);
+    char* arguments[] = {program.data(), nullptr};
+    ASSERT_EQ(posix_spawn(&pid, program.c_str(), nullptr, nullptr, arguments, environment.data()), 0);
+  }
+
+  // Starts the program at a free address, and waits until it follows discovery and takes clients.
+  void start() {
+    {
+      tcp::acceptor probe(io, loopback());
+      address = probe.local_endpoint();
+    }
+    config["listen"] = textOf(address);
+    config["discovery"] = textOf(discovery.peer.endpoint);
+    spawn();
+    ASSERT_TRUE(until([&] { return !discovery.held.empty() && up(); }));
+  }
+  bool up() {
+    tcp::socket probe(io);
+    error_code ec;
+    probe.connect(address, ec);
+    return !ec;
+  }
+  std::string read(const std::string& headers = "") {
+    return "GET /read HTTP/1.1\r\nHost: x\r\nX-Class: read\r\nX-Request-Id: r" + std::to_string(++serial) +
+           "\r\n" + headers + "\r\n";
+  }
+
+  // Asks on a connection of its own for each request, all at once; the status of each answer, 0 for a
+  // connection that ended without one.
+  std::multiset<unsigned> askAtOnce(std::size_t requests) {
+    std::vector<std::shared_ptr<Client>> clients;
+    for (std::size_t i = 0; i < requests; ++i) {
+      clients.push_back(Client::connect(io, address));
+      clients.back()->send(read());
+    }
+    std::multiset<unsigned> statuses;
+    for (const auto& client : clients) {
+      EXPECT_TRUE(until([&] { return !client->answers.empty() || client->closedByPeer; }));
+      statuses.insert(client->answers.empty() ? 0u : client->answers.front().result_int());
+    }
+    return statuses;
+  }
+  // One after the other, each on a connection of its own.
+  std::multiset<unsigned> askInTurn(std::size_t requests) {
+    std::multiset<unsigned> statuses;
+    for (std::size_t i = 0; i < requests; ++i)
+      statuses.merge(askAtOnce(1));
+    return statuses;
+  }
+  static std::int64_t unixNowMs() {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  }
+
+  const std::string folder = ::testing::TempDir() + "process_faults_" + std::to_string(getpid());
+  asio::io_context io;
+  FakeDiscovery discovery{io};
+  std::vector<std::unique_ptr<Peer>> hosts;
+  std::map<std::string, std::size_t> served;
+  json config = configJson();
+  tcp::endpoint address;
+  SharedFaults faults{::testing::TempDir() + "fault_page_" + std::to_string(getpid())};
+  pid_t pid = -1;
+  int serial = 0;
+};
+
+PeerConnection::Script answering(const std::string& body) {
+  return [body](PeerConnection& c) { c.reply(answerText(200, "", body)); };
+}
+
+// --- Short and interrupted calls ------------------------------------------------------------------------
+
+TEST_F(ProcessFaults, WritesThatReturnShortAreContinued) {
+  addHost(answering(std::string(3'000, 'x')));
+  faults->of(FaultyCall::send).atMost = 5;
+  faults->of(FaultyCall::send).oneIn = 1;
+  start();
+  EXPECT_EQ(askAtOnce(20).count(200), 20u);
+  EXPECT_GT(faults->of(FaultyCall::send).injected.load(), 0u);
+}
+
+}  // namespace
+}  // namespace hollyrun::gateway::testing
+
+int main(int argc, char** argv) {
+  ::testing::InitGoogleTest(&argc, argv);
+  if (argc >= 3) {
+    hollyrun::gateway::testing::program = argv[1];
+    hollyrun::gateway::testing::library = argv[2];
+  } else if (!::testing::GTEST_FLAG(list_tests)) {  // the build lists the tests and passes no arguments
+    return 1;
+  }
+  return RUN_ALL_TESTS();
+}
