Sockets: a write goes on until the kernel blocks, and waits for the level, not the edge

Change: writeAll (src/gateway/socket_io) writes on until the call would block, waits for the level, tries again after EINTR and, after a moment, when the kernel has no buffer. Answers, pieces, requests, discovery and the management address use it; 100 Continue is written whole.

--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
@@ -18,6 +17,9 @@
 #include <utility>
 #include <vector>
 
+#include "gateway/message_text.hpp"
+#include "gateway/socket_io.hpp"
+
 namespace hollyrun::gateway {
 namespace {
 
@@ -60,12 +62,12 @@
 
   void answer(HttpResponse response, Answered answered) {
     beginAnswer(response, std::move(answered));
-    response_ = std::move(response);
-    response_.prepare_payload();
-    http::async_write(socket_, response_, [self = shared_from_this()](error_code ec, std::size_t) {
+    response.prepare_payload();
+    piece_ = serialized(response);
+    writeAll(socket_, asio::buffer(piece_), [self = shared_from_this()](error_code ec) {
       if (self->state_ != State::answering)
         return;
-      self->response_ = {};
+      self->piece_ = {};
       self->answered(ec);
     });
   }
@@ -259,15 +261,14 @@
     writing_ = true;
     since_ = Clock::now();
     piece_ = std::move(text);
-    asio::async_write(socket_, asio::buffer(piece_),
-                      [self = shared_from_this(), chunked](error_code ec, std::size_t) {
-                        self->writing_ = false;
-                        if (self->state_ != State::answering)
-                          return;
-                        if (ec)
-                          return self->close();
-                        self->pump(chunked);
-                      });
+    writeAll(socket_, asio::buffer(piece_), [self = shared_from_this(), chunked](error_code ec) {
+      self->writing_ = false;
+      if (self->state_ != State::answering)
+        return;
+      if (ec)
+        return self->close();
+      self->pump(chunked);
+    });
   }
 
   void pump(bool chunked) {
@@ -418,11 +419,7 @@
     if (head.count(http::field::expect)) {
       if (!boost::beast::iequals(head[http::field::expect], "100-continue"))
         return refuse(http::status::expectation_failed);
-      error_code ec;  // so short a text finds room: nothing was written before it
-      static constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
-      if (head.version() == 11)
-        socket_.write_some(asio::buffer(kContinue, sizeof kContinue - 1), ec);
-      if (ec) {
+      if (head.version() == 11 && !sayContinue()) {
         close();
         return false;
       }
@@ -436,6 +433,18 @@
     return state_ == State::body || state_ == State::uploading;
   }
 
+  // So short a text finds room in the kernel's buffer: nothing was written before it.
+  bool sayContinue() {
+    static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    error_code ec;
+    for (asio::const_buffer rest = asio::buffer(kContinue); rest.size() > 0;) {
+      rest += socket_.write_some(rest, ec);
+      if (ec && !isInterrupted(ec))
+        return false;
+    }
+    return true;
+  }
+
   // What the parser has of the body moves on, if it is not held whole. False if the request is over.
   bool takeBody() {
     std::string& body = parser_->get().body();
@@ -534,11 +543,10 @@
   tcp::socket socket_;
   boost::beast::flat_buffer buffer_{kHeaderLimit + 2 * kBodyChunk};
   std::optional<http::request_parser<PieceBody>> parser_;
-  HttpResponse response_;
   Answered answered_;
   BodyShare held_;
   std::shared_ptr<BodyStream> upload_, download_;
-  std::string piece_;  // of the download, being written
+  std::string piece_;  // of the answer or all of it, being written
   State state_ = State::idle;
   SessionList* list_ = nullptr;   // that holds this session,
   SessionList::iterator inList_;  // here
--- a/src/gateway/discovery.cpp
+++ b/src/gateway/discovery.cpp
@@ -1,11 +1,12 @@
 #include "gateway/discovery.hpp"
 
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "gateway/endpoint_text.hpp"
+#include "gateway/message_text.hpp"
+#include "gateway/socket_io.hpp"
 
 namespace hollyrun::gateway {
 namespace {
@@ -27,6 +28,7 @@
   asio::steady_timer timer;
   boost::beast::flat_buffer buffer;
   http::request<http::empty_body> request;
+  std::string text;  // of the request, being written
   std::optional<http::response_parser<http::string_body>> parser;
   Kind kind = Kind::list;
   std::uint64_t turn = 0;  // of the call; a timer of an earlier one that is already due is told by it
@@ -59,12 +61,14 @@
         return self->finish(std::nullopt);
       error_code ignored;
       self->socket.set_option(tcp::no_delay(true), ignored);
+      self->socket.non_blocking(true, ignored);
       self->write();
     });
   }
 
   void write() {
-    http::async_write(socket, request, [self = shared_from_this()](error_code ec, std::size_t) {
+    text = serialized(request);
+    writeAll(socket, asio::buffer(text), [self = shared_from_this()](error_code ec) {
       if (!self->owner)
         return;
       if (ec)
--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -14,6 +13,9 @@
 #include <sstream>
 #include <utility>
 
+#include "gateway/message_text.hpp"
+#include "gateway/socket_io.hpp"
+
 namespace hollyrun::gateway {
 namespace {
 
@@ -61,7 +63,7 @@
   HttpRequest request;
   std::shared_ptr<BodyStream> upload, download;
   BodyShare held;
-  std::string piece;  // of the upload, being written
+  std::string piece;  // of the request or all of it, being written
   AttemptKey key;
   Phase phase = Phase::connecting;
   Clock::time_point sentAt, idleSince, deadline, beginBy;
@@ -159,6 +161,7 @@
         return self->end(Outcome::connectFailed);
       error_code ignored;
       self->socket.set_option(tcp::no_delay(true), ignored);
+      self->socket.non_blocking(true, ignored);
       self->write();
     });
   }
@@ -170,7 +173,9 @@
     if (upload)
       return writeUpload();
     limit(deadline, Outcome::timeout);
-    http::async_write(socket, request, [self = shared_from_this()](error_code ec, std::size_t) {
+    piece = serialized(request);
+    writeAll(socket, asio::buffer(piece), [self = shared_from_this()](error_code ec) {
+      self->piece = {};
       if (self->phase != Phase::writing)
         return;
       // An error here means that the last byte was not written: it never ran.
@@ -205,7 +210,7 @@
     pieceOut = true;
     piece = std::move(text);
     limit(Clock::now() + kStall, Outcome::connectFailed);  // the last byte is still to come
-    asio::async_write(socket, asio::buffer(piece), [self = shared_from_this()](error_code ec, std::size_t) {
+    writeAll(socket, asio::buffer(piece), [self = shared_from_this()](error_code ec) {
       self->pieceOut = false;
       if (self->phase != Phase::writing)
         return;
@@ -458,7 +463,6 @@
   bool usable() {
     char byte;
     error_code ec;
-    socket.non_blocking(true, ec);
     if (socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec) > 0)
       unasked();
     return ec == asio::error::would_block || ec == asio::error::try_again;
--- a/src/gateway/management.cpp
+++ b/src/gateway/management.cpp
@@ -4,9 +4,11 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 #include <utility>
 
+#include "gateway/message_text.hpp"
+#include "gateway/socket_io.hpp"
+
 namespace hollyrun::gateway {
 namespace {
 
@@ -100,7 +102,8 @@
     answer_ = std::move(answer);
     answer_.keep_alive(false);
     answer_.prepare_payload();
-    http::async_write(socket_, answer_, [self = shared_from_this()](error_code ec, std::size_t) {
+    text_ = serialized(answer_);
+    writeAll(socket_, asio::buffer(text_), [self = shared_from_this()](error_code ec) {
       if (!self->owner_)
         return;
       if (ec)
@@ -130,6 +133,7 @@
   boost::beast::flat_buffer buffer_{kHeadLimit + kCallBody};
   http::request_parser<http::string_body> parser_;
   Answer answer_;
+  std::string text_;  // of the answer, being written
   const Clock::time_point since_ = Clock::now();
 };
 
@@ -184,6 +188,7 @@
       const auto oldest = calls_.front();
       oldest->close();
     }
+    socket.non_blocking(true, ec);
     calls_.push_back(std::make_shared<Call>(*this, std::move(socket)));
     calls_.back()->start();
   }
--- /dev/null
+++ b/src/gateway/message_text.hpp
@@ -0,0 +1,36 @@
+// A whole HTTP message as the bytes that go out.
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/system/error_code.hpp>
+#include <cstddef>
+#include <string>
+
+namespace hollyrun::gateway {
+
+/// Head and body; the message has to be prepared (its length or its coding set).
+template <bool isRequest, class Body>
+std::string serialized(const boost::beast::http::message<isRequest, Body>& message) {
+  boost::beast::http::serializer<isRequest, Body> serializer(message);
+  std::string text;
+  while (!serializer.is_done()) {
+    boost::system::error_code error;
+    serializer.next(error, [&](boost::system::error_code&, const auto& buffers) {
+      std::size_t taken = 0;
+      for (auto it = boost::asio::buffer_sequence_begin(buffers);
+           it != boost::asio::buffer_sequence_end(buffers); ++it) {
+        const boost::asio::const_buffer part(*it);
+        text.append(static_cast<const char*>(part.data()), part.size());
+        taken += part.size();
+      }
+      serializer.consume(taken);
+    });
+    if (error)
+      break;
+  }
+  return text;
+}
+
+}  // namespace hollyrun::gateway
