--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -186,6 +186,44 @@
   EXPECT_GT(faults->of(FaultyCall::send).injected.load(), 0u);
 }
 
+// --- The wall clock -------------------------------------------------------------------------------------
+
+class WallClock : public ProcessFaults, public ::testing::WithParamInterface<std::chrono::seconds> {
+ protected:
+  // Warm hosts, then one that starts just now; true if it got its part by slow start: less than an even
+  // share.
+  void tellNewHost() {
+    addHost(answering("new"), unixNowMs());
+    const json entry = discovery.list.back();
+    discovery.push({{"all", false}, {"targets", {entry}}});
+    ASSERT_TRUE(until([&] { return !discovery.held.empty(); }));
+  }
+};
+
+TEST_P(WallClock, ThatIsWrongLeavesAHostThatAppearsItsSlowStart) {
+  for (int i = 0; i < 4; ++i)
+    addHost(answering("warm"));
+  faults->wallClockOffsetNs = std::chrono::nanoseconds(GetParam()).count();
+  start();
+  constexpr std::size_t kRequests = 400;
+  askInTurn(kRequests / 4);  // what a warm host carries is known by then
+  tellNewHost();
+  const auto statuses = askInTurn(kRequests);
+  EXPECT_EQ(statuses.count(200), kRequests);
+  EXPECT_LT(served["s-4"], kRequests / 8) << "an even share is a fifth";
+  EXPECT_TRUE(until([&] {
+    askInTurn(1);
+    return served["s-4"] > 0;
+  })) << "a cold host is sent a little";
+}
+
+INSTANTIATE_TEST_SUITE_P(Offsets, WallClock, ::testing::Values(-3600s, -5s, 0s, 5s, 3600s),
+                         [](const auto& tested) {
+                           const auto seconds = tested.param.count();
+                           return (seconds < 0 ? "Behind" : "Ahead") + std::to_string(std::abs(seconds)) +
+                                  "Seconds";
+                         });
+
 }  // namespace
 }  // namespace hollyrun::gateway::testing
 
