Server start times: bounded by what this process saw, whatever its wall clock says

Cause: a server's age was its boot_ms against the wall clock read at this process's start. An hour ahead a new server was warm at once; behind, its age and warmth were negative and it was sent nothing, for as long as the clock was behind. Change: ServerStartTimes keeps the distance of the wall clock from the monotonic one between certain bounds: a server started before it is first told, and one that appears, or has another boot_ms, started after the last answer without it. Outside of these the wall clock is not believed and the younger bound holds; a step during the process's life makes no server older. The module takes no age below zero. Ruled out: nothing contradicts a clock ahead of servers that were in the first list of all.

--- a/src/balancer/choice.cpp
+++ b/src/balancer/choice.cpp
@@ -464,7 +464,8 @@
   }
   double warmth(const Host& h) const {
     if (!isCold(h)) return 1;
-    return set.coldShare + (1 - set.coldShare) * toSeconds(now - h.entry.upSince) / toSeconds(set.coldTime);
+    const Duration age = std::max(now - h.entry.upSince, Duration{});  // never less than none
+    return set.coldShare + (1 - set.coldShare) * toSeconds(age) / toSeconds(set.coldTime);
   }
 
   // Of one not heard of; the draw goes by the square of it, and a cold host's rate by about the root above.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -135,7 +135,7 @@
 Gateway::Gateway(asio::io_context& io, const Config& config, Waits waits, Log& log)
     : io_(io),
       start_(Clock::now()),
-      unixStart_(std::chrono::system_clock::now()),
+      startTimes_(clocks()),
       log_(log),
       listen_(config.listen),
       sockets_(config.sockets),
@@ -222,12 +222,8 @@
   return kClockStart + (Clock::now() - start_);
 }
 
-// By one offset for good: the module takes a host whose start moved for a new process.
-Time Gateway::moduleTime(std::int64_t unixMs) const {
-  if (unixMs <= 0)
-    return Time{};
-  const Time at = kClockStart + (std::chrono::milliseconds(unixMs) - unixStart_.time_since_epoch());
-  return std::max(at, Time{});
+ServerStartTimes::Clocks Gateway::clocks() const {
+  return {now(), std::chrono::system_clock::now().time_since_epoch()};
 }
 
 std::optional<tcp::endpoint> Gateway::management() const {
@@ -308,6 +304,9 @@
 // --- Events ---------------------------------------------------------------------------------------------
 
 void Gateway::told(const HostList& list, ListKind kind) {
+  const auto source =
+      kind == ListKind::restored ? ServerStartTimes::Source::remembered : ServerStartTimes::Source::discovery;
+  const std::vector<Time> starts = startTimes_.of(list, source, clocks());
   std::vector<balancer::HostEntry> entries;
   for (const ListedHost& host : list.hosts) {
     balancer::HostEntry e;
@@ -317,7 +316,7 @@
     e.kind = host.kind;
     e.cell = host.cell;
     e.weight = host.weight;
-    e.upSince = moduleTime(host.bootMs);
+    e.upSince = starts[entries.size()];
     e.phase = host.state == HostState::serving    ? Phase::in
               : host.state == HostState::draining ? Phase::draining
                                                   : Phase::out;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -20,6 +20,7 @@
 #include "gateway/host_pool.hpp"
 #include "gateway/log.hpp"
 #include "gateway/management.hpp"
+#include "gateway/server_start_times.hpp"
 #include "gateway/statistics.hpp"
 #include "gateway/twin.hpp"
 #include "hollyrun/balancer.hpp"
@@ -76,7 +77,7 @@
   };
 
   balancer::Time now() const;
-  balancer::Time moduleTime(std::int64_t unixMs) const;
+  ServerStartTimes::Clocks clocks() const;
 
   void received(ClientRequest request);
   boost::beast::http::status describe(const HttpRequest& message, balancer::Request& request) const;
@@ -109,7 +110,7 @@
 
   boost::asio::io_context& io_;
   std::chrono::steady_clock::time_point start_;
-  std::chrono::system_clock::time_point unixStart_;
+  ServerStartTimes startTimes_;
   balancer::Settings settings_;
   std::unordered_map<std::string, std::uint32_t> classOf_, tenantOf_;
   Log& log_;
--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -217,6 +217,13 @@
   })) << "a cold host is sent a little";
 }
 
+TEST_P(WallClock, ThatIsWrongDoesNotShutOutTheOnlyHost) {
+  addHost(answering("new"), unixNowMs());
+  faults->wallClockOffsetNs = std::chrono::nanoseconds(GetParam()).count();
+  start();
+  EXPECT_TRUE(until([&] { return askInTurn(1).count(200) == 1; }));
+}
+
 INSTANTIATE_TEST_SUITE_P(Offsets, WallClock, ::testing::Values(-3600s, -5s, 0s, 5s, 3600s),
                          [](const auto& tested) {
                            const auto seconds = tested.param.count();
--- /dev/null
+++ b/tests/server_start_times_test.cpp
@@ -0,0 +1,110 @@
+// Starts of record servers on the monotonic clock, whatever the wall clock says.
+#include "gateway/server_start_times.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hollyrun::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+using balancer::Time;
+using Source = ServerStartTimes::Source;
+
+class StartTimes : public ::testing::Test {
+ protected:
+  static constexpr Time kBegin = 24h;  // of the process, on the monotonic clock
+  static constexpr std::chrono::milliseconds kTrueUnix = std::chrono::milliseconds(1'800'000'000'000);
+
+  // The clocks at `since` after the begin, with the wall clock off by `wrong`.
+  static ServerStartTimes::Clocks at(Time since, std::chrono::nanoseconds wrong) {
+    return {kBegin + since, kTrueUnix + since + wrong};
+  }
+  // A server that really started `since` after the begin.
+  static ListedHost server(const std::string& uid, std::chrono::milliseconds since) {
+    ListedHost host;
+    host.uid = uid;
+    host.bootMs = (kTrueUnix + since).count();
+    return host;
+  }
+  static HostList list(std::vector<ListedHost> hosts, bool full = true) {
+    return {.version = 1, .full = full, .hosts = std::move(hosts)};
+  }
+  static ListedHost longAgo(const std::string& uid) {
+    ListedHost host;
+    host.uid = uid;
+    return host;
+  }
+};
+
+TEST_F(StartTimes, AreThoseThatDiscoveryTellsWhileTheClockIsRight) {
+  ServerStartTimes times(at(0s, 0s));
+  EXPECT_EQ(times.of(list({longAgo("a"), server("b", -3s)}), Source::discovery, at(1s, 0s)),
+            (std::vector<Time>{Time{}, kBegin - 3s}));
+  EXPECT_EQ(times.of(list({server("c", 4s)}, false), Source::discovery, at(5s, 0s)),
+            std::vector<Time>{kBegin + 4s});
+}
+
+TEST_F(StartTimes, StayTheSameForTheSameProcessWhateverTheClockDoes) {
+  ServerStartTimes times(at(0s, 0s));
+  const auto before = times.of(list({server("a", -3s)}), Source::remembered, at(0s, 0s));
+  for (const auto wrong : {-3600s, -5s, 5s, 3600s})
+    EXPECT_EQ(times.of(list({server("a", -3s)}), Source::discovery, at(2s, wrong)), before);
+}
+
+TEST_F(StartTimes, AreNeverInTheFuture) {
+  ServerStartTimes times(at(0s, -3600s));
+  const auto starts =
+      times.of(list({server("a", -3s), server("b", -20s)}), Source::discovery, at(1s, -3600s));
+  EXPECT_EQ(starts[0], kBegin + 1s) << "the youngest is as young as can be";
+  EXPECT_EQ(starts[1], kBegin - 16s) << "and the others are as much older as they were told";
+}
+
+TEST_F(StartTimes, OfAServerThatAppearsAreNotBeforeTheListWithoutIt) {
+  for (const auto wrong : {5s, 3600s}) {
+    ServerStartTimes times(at(0s, wrong));
+    times.of(list({longAgo("a")}), Source::discovery, at(1s, wrong));
+    times.of(list({}, false), Source::discovery, at(8s, wrong));
+    const auto starts = times.of(list({server("b", 8s)}, false), Source::discovery, at(9s, wrong));
+    EXPECT_GE(starts[0], kBegin + 8s);
+    EXPECT_LE(starts[0], kBegin + 9s);
+  }
+}
+
+TEST_F(StartTimes, OfAServerThatStartsAnewAreNotBeforeTheListOfItsFormerProcess) {
+  ServerStartTimes times(at(0s, 3600s));
+  times.of(list({server("a", -100s)}), Source::discovery, at(1s, 3600s));
+  const auto starts = times.of(list({server("a", 2s)}, false), Source::discovery, at(3s, 3600s));
+  EXPECT_GE(starts[0], kBegin + 1s);
+}
+
+TEST_F(StartTimes, AClockThatIsSteppedDuringTheLifeMakesNoServerOlder) {
+  for (const auto step : {-3600s, -5s, 5s, 3600s}) {
+    ServerStartTimes times(at(0s, 0s));
+    times.of(list({longAgo("a")}), Source::discovery, at(1s, 0s));
+    const auto starts = times.of(list({server("b", 30s)}, false), Source::discovery, at(31s, step));
+    EXPECT_GE(starts[0], kBegin + 30s) << step.count();
+    EXPECT_LE(starts[0], kBegin + 31s) << step.count();
+  }
+}
+
+TEST_F(StartTimes, AListThatWasRememberedBoundsNothingFromBelow) {
+  ServerStartTimes times(at(0s, 0s));
+  times.of(list({}), Source::remembered, at(0s, 0s));  // it may be of any age
+  EXPECT_EQ(times.of(list({server("a", -3s)}), Source::discovery, at(1s, 0s)),
+            std::vector<Time>{kBegin - 3s});
+}
+
+TEST_F(StartTimes, OfAServerThatWasOnceGoneAreJudgedAnew) {
+  ServerStartTimes times(at(0s, 3600s));
+  times.of(list({server("a", -100s)}), Source::discovery, at(1s, 3600s));
+  times.of(list({longAgo("b")}), Source::discovery, at(2s, 3600s));
+  EXPECT_GE(times.of(list({server("a", 3s)}, false), Source::discovery, at(4s, 3600s))[0], kBegin + 2s);
+}
+
+TEST_F(StartTimes, BeforeTheClockBeganAreStillStarts) {
+  ServerStartTimes times(at(0s, 0s));
+  EXPECT_GT(times.of(list({server("a", -48h)}), Source::discovery, at(1s, 0s))[0], Time{});
+}
+
+}  // namespace
+}  // namespace hollyrun::gateway
