Tests: interrupted reads, failing accepts and a hangup during the start, known red

Measured on the program before: one recv in four with EINTR, 24 of 100 clients reset; SIGHUP while the configuration is read ends the process; accept failing with ENOBUFS, connections closed with no answer.

--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -4,10 +4,14 @@
 #include <signal.h>
 #include <spawn.h>
 #include <sys/mman.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
+#include <csignal>
 #include <cstdio>
+#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <new>
@@ -95,6 +99,9 @@
 
   void spawn() {
     writeConfig();
+    spawnProgram();
+  }
+  void spawnProgram() {
     std::vector<std::string> variables = {
         "GW_CONFIG=" + folder + "/config.json", "TMPDIR=" + folder, "LD_PRELOAD=" + library,
         std::string(lab::kFaultPageVariable) + "=" + faults.path(),
@@ -119,6 +126,11 @@
     spawn();
     ASSERT_TRUE(until([&] { return !discovery.held.empty() && up(); }));
   }
+  bool ended() {
+    siginfo_t info{};
+    return ::waitid(P_PID, static_cast<id_t>(pid), &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+           info.si_pid == pid;
+  }
   bool up() {
     tcp::socket probe(io);
     error_code ec;
@@ -186,6 +198,67 @@
   EXPECT_GT(faults->of(FaultyCall::send).injected.load(), 0u);
 }
 
+TEST_F(ProcessFaults, ReadsThatAreInterruptedEndNoConnection) {
+  addHost(answering("x"));
+  start();
+  faults->of(FaultyCall::receive).error = EINTR;
+  faults->of(FaultyCall::receive).oneIn = 4;
+  EXPECT_EQ(askInTurn(100).count(200), 100u);
+  EXPECT_GT(faults->of(FaultyCall::receive).injected.load(), 0u);
+}
+
+TEST_F(ProcessFaults, LooksAtAClientThatAreInterruptedTakeNobodyForGone) {
+  addHost(answering("x"));
+  start();
+  faults->of(FaultyCall::poll).error = EINTR;
+  faults->of(FaultyCall::poll).oneIn = 2;
+  EXPECT_EQ(askInTurn(100).count(200), 100u);
+  EXPECT_GT(faults->of(FaultyCall::poll).injected.load(), 0u);
+}
+
+// --- Accepts --------------------------------------------------------------------------------------------
+
+class FailingAccepts : public ProcessFaults, public ::testing::WithParamInterface<int> {};
+
+TEST_P(FailingAccepts, ForAMomentCloseNoConnectionThatWasAccepted) {
+  addHost(answering("x"));
+  start();
+  faults->of(FaultyCall::accept).error = GetParam();
+  faults->of(FaultyCall::accept).oneIn = 2;
+  EXPECT_EQ(askInTurn(100).count(200), 100u);
+  EXPECT_GT(faults->of(FaultyCall::accept).injected.load(), 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Errors, FailingAccepts, ::testing::Values(ENOBUFS),
+                         [](const auto& tested) { return std::string(strerrorname_np(tested.param)); });
+
+// --- Signals --------------------------------------------------------------------------------------------
+
+// The configuration is a pipe, so that the program is still reading it when the signal comes.
+TEST_F(ProcessFaults, AHangupWhileTheConfigurationIsReadDoesNotEndTheStart) {
+  addHost(answering("x"));
+  {
+    tcp::acceptor probe(io, loopback());
+    address = probe.local_endpoint();
+  }
+  config["listen"] = textOf(address);
+  config["discovery"] = textOf(discovery.peer.endpoint);
+  const std::string path = folder + "/config.json";
+  ASSERT_EQ(::mkfifo(path.c_str(), 0600), 0);
+  spawnProgram();
+  ASSERT_GT(pid, 0);
+  const int writeEnd = ::open(path.c_str(), O_WRONLY | O_CLOEXEC);  // returns once it is opened to be read
+  ASSERT_GE(writeEnd, 0);
+  ::kill(pid, SIGHUP);
+  writeConfig();  // in place of the pipe, for the reload
+  const std::string text = config.dump();
+  ASSERT_EQ(::write(writeEnd, text.data(), text.size()), static_cast<ssize_t>(text.size()));
+  ::close(writeEnd);
+  ASSERT_TRUE(until([&] { return (!discovery.held.empty() && up()) || ended(); }));
+  ASSERT_FALSE(ended());
+  EXPECT_EQ(askInTurn(1).count(200), 1u);
+}
+
 // --- The wall clock -------------------------------------------------------------------------------------
 
 class WallClock : public ProcessFaults, public ::testing::WithParamInterface<std::chrono::seconds> {
@@ -236,6 +309,7 @@
 
 int main(int argc, char** argv) {
   ::testing::InitGoogleTest(&argc, argv);
+  std::signal(SIGPIPE, SIG_IGN);  // the program may have ended before it has read all
   if (argc >= 3) {
     hollyrun::gateway::testing::program = argv[1];
     hollyrun::gateway::testing::library = argv[2];
