Sockets: what fails for a moment ends no connection, no process and no turn of the loop

Interrupted reads and looks are made again, a poll that fails asks the kernel's state of the connection. The signals are kept from the first line of the start on.

--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -1,6 +1,7 @@
 #include "gateway/client_server.hpp"
 
 #include <linux/filter.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -12,6 +13,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
 #include <optional>
 #include <sstream>
 #include <utility>
@@ -127,7 +129,13 @@
   // event of the loop, nor is one that it has not come to yet.
   bool hungUp() {
     pollfd look{socket_.native_handle(), POLLRDHUP, 0};
-    return ::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR));
+    int found = 0;
+    do
+      found = ::poll(&look, 1, 0);
+    while (found < 0 && errno == EINTR);
+    if (found < 0)
+      return !established();
+    return found > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR));
   }
 
   // Its client left while its request was waiting.
@@ -153,6 +161,15 @@
   }
 
  private:
+  // Whether neither side has ended: the kernel's own state, for when the poll itself fails.
+  bool established() {
+    tcp_info info{};
+    socklen_t length = sizeof info;
+    if (::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length) != 0)
+      return false;
+    return info.tcpi_state == TCP_ESTABLISHED;
+  }
+
   // docs/connections.md has the table of states and events.
   enum class State { idle, head, body, uploading, waiting, answering, lingering, closed };
 
@@ -330,7 +347,7 @@
     const bool body = state_ == State::body || state_ == State::uploading;
     error_code ec;
     const std::size_t n = socket_.read_some(buffer_.prepare(body ? kBodyChunk : kChunk), ec);
-    if (ec == asio::error::would_block || ec == asio::error::try_again)
+    if (wouldBlock(ec) || isInterrupted(ec))
       return watch();
     if (ec)
       return clientEnded();
@@ -367,7 +384,7 @@
     static std::array<char, kBodyChunk> thrown;
     error_code ec;
     readOut_ += socket_.read_some(asio::buffer(thrown), ec);
-    const bool none = ec == asio::error::would_block || ec == asio::error::try_again;
+    const bool none = wouldBlock(ec) || isInterrupted(ec);
     if ((ec && !none) || readOut_ > kLingerBytes)
       return close();
     watch();
@@ -583,6 +600,8 @@
   acceptor_.bind(at);
   acceptor_.listen();
   acceptor_.non_blocking(true);
+  // Danger: without it Asio takes an aborted connection for a reason to wait, in this call, for the next one.
+  acceptor_.set_option(asio::socket_base::enable_connection_aborted(true));
   accept();
 }
 
@@ -638,7 +657,7 @@
       return;
     if (takeWaiting() != Accepted::noRoom)
       return accept();
-    // Danger: with no descriptor left the listener stays readable, and the loop would spin.
+    // Danger: with no descriptor or buffer left the listener stays readable, and the loop would spin.
     again_.expires_after(kAcceptAgain);
     again_.async_wait([this](error_code waitError) {
       if (!waitError && acceptor_.is_open())
@@ -650,19 +669,22 @@
 // Takes a batch of those that wait. Danger: at the limit, room may be made only for a connection that is
 // there: an idle client is not sent away for nobody. So there may be one over it.
 ClientServer::Accepted ClientServer::takeWaiting() {
-  for (std::size_t taken = 0; taken < kAcceptBatch;) {
+  for (std::size_t tries = 0; tries < kAcceptBatch; ++tries) {
     if (admitted() > limits_.connections && !makeRoom())
       return Accepted::noRoom;
     error_code ec;
     tcp::socket socket(io_);
     acceptor_.accept(socket, ec);
-    if (ec == asio::error::would_block || ec == asio::error::try_again)
+    if (wouldBlock(ec))
       return Accepted::all;
-    if (ec == asio::error::connection_aborted || ec == asio::error::interrupted)
+    // Danger: closing a connection helps only where this process has no descriptor left; at any other error
+    // it would end one whose request is on its way.
+    if (ec == boost::system::errc::too_many_files_open)
+      return makeRoom(Fresh::stay) ? Accepted::some : Accepted::noRoom;
+    if (isLocalShortage(ec) && !isInterrupted(ec))
+      return Accepted::noRoom;
+    if (ec)  // of the connection that waited first, which is gone: the next one may be well (accept(2))
       continue;
-    if (ec)
-      return makeRoom() ? Accepted::some : Accepted::noRoom;
-    ++taken;
     if (admitted() >= limits_.connections)
       makeRoom();
     admit(std::move(socket));
@@ -685,8 +707,8 @@
 // one whose time to linger may be cut short. Who writes slowly, but writes, stays, and so does every request
 // that was taken. Danger: its next request may be on its way to the one that leaves, so that lingers, too,
 // and only the first of several has to go at once.
-bool ClientServer::makeRoom() {
-  std::shared_ptr<Session> leaving = oldestIdle();
+bool ClientServer::makeRoom(Fresh fresh) {
+  std::shared_ptr<Session> leaving = oldestIdle(fresh);
   if (!leaving)
     leaving = oldestUnfinished();
   if (leaving) {
@@ -702,9 +724,12 @@
   return lingering != nullptr;
 }
 
-std::shared_ptr<ClientServer::Session> ClientServer::oldestIdle() const {
+std::shared_ptr<ClientServer::Session> ClientServer::oldestIdle(Fresh fresh) const {
+  const auto now = Clock::now();
   std::size_t looked = 0;
   for (Session* session : idle_) {
+    if (fresh == Fresh::stay && session->fresh(now))
+      continue;
     if (session->idle())
       return session->shared_from_this();
     if (++looked == kRoomCandidates)
--- a/src/gateway/client_server.hpp
+++ b/src/gateway/client_server.hpp
@@ -85,8 +85,9 @@
   std::shared_ptr<Session> takeWaiter(ExchangeId exchange);
   Accepted takeWaiting();
   void admit(boost::asio::ip::tcp::socket socket);
-  bool makeRoom();
-  std::shared_ptr<Session> oldestIdle() const;
+  enum class Fresh { mayGo, stay };  // connections whose first request may be on its way
+  bool makeRoom(Fresh fresh = Fresh::mayGo);
+  std::shared_ptr<Session> oldestIdle(Fresh fresh) const;
   std::shared_ptr<Session> oldestUnfinished() const;
   std::shared_ptr<Session> oldestLingering() const;
   bool leaves(const std::shared_ptr<Session>& session) const;
--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -463,9 +463,11 @@
   bool usable() {
     char byte;
     error_code ec;
-    if (socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec) > 0)
-      unasked();
-    return ec == asio::error::would_block || ec == asio::error::try_again;
+    do {
+      if (socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec) > 0)
+        unasked();
+    } while (isInterrupted(ec));
+    return wouldBlock(ec);
   }
 };
 
--- a/src/gateway/management.cpp
+++ b/src/gateway/management.cpp
@@ -146,6 +146,8 @@
       sweeper_(io),
       again_(io) {
   acceptor_.non_blocking(true);
+  // Danger: without it Asio takes an aborted connection for a reason to wait, in this call, for the next one.
+  acceptor_.set_option(asio::socket_base::enable_connection_aborted(true));
   accept();
   sweep();
 }
@@ -169,10 +171,10 @@
     error_code ec;
     tcp::socket socket(io_);
     acceptor_.accept(socket, ec);
-    if (ec == asio::error::would_block || ec == asio::error::try_again)
+    if (wouldBlock(ec))
       return accept();
-    if (ec == asio::error::connection_aborted || ec == asio::error::interrupted)
-      continue;
+    if (ec && !isLocalShortage(ec))
+      return accept();  // of the connection that waited first, which is gone
     if (ec) {  // Danger: with no descriptor left the listener stays readable, and the loop would spin.
       if (!calls_.empty()) {
         const auto oldest = calls_.front();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -56,11 +56,13 @@
 }
 
 int serve(const Environment& environment) {
+  boost::asio::io_context io(1);
+  // Danger: the configuration takes its time to read, and a signal that comes meanwhile would end the
+  // process. It is kept until the gateway is there, which then acts on it.
+  boost::asio::signal_set hangups(io, SIGHUP), stops(io, SIGTERM, SIGINT);
   Config config = readConfig(environment);
   Log log(config.name, config.log);
   warn(config, log);
-  boost::asio::io_context io(1);
-  boost::asio::signal_set hangups(io, SIGHUP), stops(io, SIGTERM, SIGINT);
   Gateway gateway(io, config, {}, log);
   reloadAtEach(hangups, gateway, config, environment, log);
   stops.async_wait([&](boost::system::error_code ec, int) {
@@ -128,6 +130,7 @@
 
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);  // a peer that left shows as an error of the write
+  std::signal(SIGHUP, SIG_IGN);   // until there is a handler: what the file says is still to be read
   // What the command line says goes before the variables, and they before the file.
   std::map<std::string, std::string> told;
   const Environment environment = [&](const char* name) -> const char* {
@@ -172,6 +175,8 @@
         return app.exit(bad) == 0 ? 0 : kWrong;
       }
     }
+    if (command != serve)
+      std::signal(SIGHUP, SIG_DFL);
     return command(environment);
   } catch (const BadConfig& bad) {
     std::cerr << "hollyrun: " << bad.what() << '\n';
--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -229,7 +229,29 @@
   EXPECT_GT(faults->of(FaultyCall::accept).injected.load(), 0u);
 }
 
-INSTANTIATE_TEST_SUITE_P(Errors, FailingAccepts, ::testing::Values(ENOBUFS),
+TEST_P(FailingAccepts, ForAWhileLeaveThoseThatWaitedAnswered) {
+  addHost(answering("x"));
+  start();
+  faults->of(FaultyCall::accept).error = GetParam();
+  faults->of(FaultyCall::accept).oneIn = 1;
+  std::vector<std::shared_ptr<Client>> clients;
+  for (int i = 0; i < 50; ++i) {
+    clients.push_back(Client::connect(io, address));
+    clients.back()->send(read());
+  }
+  ASSERT_TRUE(until([&] { return faults->of(FaultyCall::accept).injected >= 10; }));
+  faults->of(FaultyCall::accept).oneIn = 0;
+  for (const auto& client : clients) {
+    ASSERT_TRUE(until([&] { return !client->answers.empty() || client->closedByPeer; }));
+    ASSERT_FALSE(client->answers.empty()) << "closed with no answer";
+    const unsigned status = client->answers.front().result_int();
+    EXPECT_TRUE(status == 200 || status == 503) << status;  // that many at once may be refused in part
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Errors, FailingAccepts,
+                         ::testing::Values(ECONNABORTED, ENFILE, EMFILE, ENOBUFS, ENOMEM, ENETUNREACH,
+                                           EPROTO),
                          [](const auto& tested) { return std::string(strerrorname_np(tested.param)); });
 
 // --- Signals --------------------------------------------------------------------------------------------
