--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -254,6 +254,46 @@
                                            EPROTO),
                          [](const auto& tested) { return std::string(strerrorname_np(tested.param)); });
 
+// --- Connections to hosts -------------------------------------------------------------------------------
+
+class FailingDials : public ProcessFaults,
+                     public ::testing::WithParamInterface<std::pair<FaultyCall, int>> {};
+
+// Taken for failures of the hosts, these would rest each of them.
+TEST_P(FailingDials, OfThisMachineRestNoHost) {
+  constexpr std::size_t kRequests = 60;
+  for (int i = 0; i < 4; ++i)
+    addHost([](PeerConnection& c) { c.reply(answerText(200, "Connection: close\r\n", "x"), true); });
+  tcp::endpoint management;
+  {
+    tcp::acceptor probe(io, loopback());
+    management = probe.local_endpoint();
+  }
+  config["management"] = textOf(management);
+  start();
+  faults->of(GetParam().first).error = GetParam().second;
+  faults->of(GetParam().first).oneIn = 2;
+  const auto statuses = askInTurn(kRequests);
+  EXPECT_EQ(statuses.count(200) + statuses.count(503), kRequests);
+  faults->of(GetParam().first).oneIn = 0;
+  EXPECT_GT(faults->of(GetParam().first).injected.load(), 0u);
+  auto operators = Client::connect(io, management);
+  operators->send("GET /ops/stats HTTP/1.1\r\nHost: x\r\n\r\n");
+  ASSERT_TRUE(until([&] { return !operators->answers.empty(); }));
+  EXPECT_NE(operators->answers.front().body().find("app.hosts_down=0\n"), std::string::npos)
+      << operators->answers.front().body();
+}
+
+INSTANTIATE_TEST_SUITE_P(Errors, FailingDials,
+                         ::testing::Values(std::pair(FaultyCall::socket, ENFILE),
+                                           std::pair(FaultyCall::connect, EADDRNOTAVAIL),
+                                           std::pair(FaultyCall::connect, ENETUNREACH)),
+                         [](const auto& tested) {
+                           return std::string(tested.param.first == FaultyCall::socket ? "Socket"
+                                                                                       : "Connect") +
+                                  strerrorname_np(tested.param.second);
+                         });
+
 // --- Signals --------------------------------------------------------------------------------------------
 
 // The configuration is a pipe, so that the program is still reading it when the signal comes.
