Host pool: a shortage of this machine is told as not sent, and rests no host

Cause: HostPool ended an attempt for which this machine had no descriptor, port, buffer or route, and one beyond its own limit of connections, as connectFailed, which the module holds against the host. Change: these end as notSent, which is repeated as the budget permits and judges nobody; with no descriptor left the longest idle connection gives up its own first. ENETUNREACH counts as this machine's: a host that alone has no route costs each request to it one attempt.

--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -149,13 +149,15 @@
     // Until the connection is up nothing has been written, so the end of the attempt's own time proves here
     // that it never ran, as the end of the time for connecting does.
     limitDial();
-    error_code ec;
-    socket.open(endpoint.protocol(), ec);  // fails when no descriptor is left
-    if (ec)
-      return end(Outcome::connectFailed);
+    if (!pool->openSocket(socket, endpoint))
+      return end(Outcome::notSent);
     socket.async_connect(endpoint, [self = shared_from_this()](error_code connectError) {
       if (self->phase != Phase::connecting)
         return;
+      // Danger: a shortage of this machine, told of the host, rests hosts that are well, in a burst all of
+      // them.
+      if (isLocalShortage(connectError))
+        return self->end(Outcome::notSent);
       // Danger: it may come up in the instant in which its time ends; from then on it may not begin.
       if (connectError || Clock::now() > self->beginBy)
         return self->end(Outcome::connectFailed);
@@ -543,6 +545,15 @@
   it->second->deadline = it->second->sentAt + limit;
 }
 
+// With no descriptor left, the connection that has been idle for longest gives up its own.
+bool HostPool::openSocket(tcp::socket& socket, const tcp::endpoint& endpoint) {
+  error_code ec;
+  socket.open(endpoint.protocol(), ec);
+  if (ec == boost::system::errc::too_many_files_open && closeOldestIdle())
+    socket.open(endpoint.protocol(), ec);
+  return !ec;
+}
+
 void HostPool::begin(AttemptKey key, HostId host, HttpRequest request, Duration limit, Duration beginWithin,
                      std::shared_ptr<BodyStream> upload) {
   const auto now = Clock::now();
@@ -550,7 +561,7 @@
   const bool fresh = !connection;
   if (fresh) {
     if (open_ >= limits_.connections && !closeOldestIdle())
-      return ended_({key, host, Outcome::connectFailed, {}, {}});
+      return ended_({key, host, Outcome::notSent, {}, {}});
     connection = std::make_shared<Connection>(*this, host);
   }
   connection->key = key;
--- a/src/gateway/host_pool.hpp
+++ b/src/gateway/host_pool.hpp
@@ -107,6 +107,7 @@
     }
   };
 
+  bool openSocket(boost::asio::ip::tcp::socket& socket, const boost::asio::ip::tcp::endpoint& endpoint);
   void begin(AttemptKey key, balancer::HostId host, HttpRequest request, balancer::Duration limit,
              balancer::Duration beginWithin, std::shared_ptr<BodyStream> upload);
   Host& hostOf(balancer::HostId host);
--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -284,15 +284,15 @@
       << operators->answers.front().body();
 }
 
-INSTANTIATE_TEST_SUITE_P(Errors, FailingDials,
-                         ::testing::Values(std::pair(FaultyCall::socket, ENFILE),
-                                           std::pair(FaultyCall::connect, EADDRNOTAVAIL),
-                                           std::pair(FaultyCall::connect, ENETUNREACH)),
-                         [](const auto& tested) {
-                           return std::string(tested.param.first == FaultyCall::socket ? "Socket"
-                                                                                       : "Connect") +
-                                  strerrorname_np(tested.param.second);
-                         });
+INSTANTIATE_TEST_SUITE_P(
+    Errors, FailingDials,
+    ::testing::Values(std::pair(FaultyCall::socket, ENFILE), std::pair(FaultyCall::socket, ENOBUFS),
+                      std::pair(FaultyCall::connect, EADDRNOTAVAIL),
+                      std::pair(FaultyCall::connect, ENETUNREACH), std::pair(FaultyCall::connect, ENOBUFS)),
+    [](const auto& tested) {
+      return std::string(tested.param.first == FaultyCall::socket ? "Socket" : "Connect") +
+             strerrorname_np(tested.param.second);
+    });
 
 // --- Signals --------------------------------------------------------------------------------------------
 
