Evidence: each step of a request by id, reasons as enumerations, and counters of them

Need: logs and metrics could not say why an attempt ended, was denied or not repeated, why a request was refused or a client's connection closed. Change: the module gives each refusal and failure its reason (GiveUpReason); client connections close for a CloseReason; attempts ended by outcome, denials and violations by rule are counters in /metrics. At log level debug each step of a request is a line by its id, with no limit; otherwise nothing is formatted. A connection whose client waits and that this side closes is a violation, too. Not measured: the processor time of a request with the trace on and off.

--- a/include/hollyrun/balancer.hpp
+++ b/include/hollyrun/balancer.hpp
@@ -122,6 +122,19 @@
   bool terminal = false;  // nothing more is owed for the request
 };
 
+/// Why a request is refused or failed without a further attempt.
+enum class GiveUpReason : std::uint8_t {
+  none,          ///< not an action that ends a request
+  cutoff,        ///< its score lies below the cutoff: overload
+  outOfTime,     ///< no time is left in which an answer is of use
+  attemptsUsed,  ///< all its attempts are made
+  queueTooLong,  ///< it would wait too long, for its key's turn or at any host
+  noHost,        ///< no host may take it
+  retryBudget,   ///< a repeat is allowed, and the budget for repeats is used up
+  notWanted,     ///< its last attempt was given up unsent
+};
+inline constexpr std::size_t kGiveUpReasons = 8;
+
 enum class ActionKind { send, refuse, fail, cancel, close, wake, subscribe, log };
 
 struct Action {
@@ -132,6 +145,7 @@
   Duration span{};                   // send: time limit; refuse: retry-after (0 = none); wake: the clock time
   std::string text;                  // log
   Duration begin = Duration::max();  // send: it may not be written later than so long from now
+  GiveUpReason reason = GiveUpReason::none;  // refuse, fail
 };
 
 struct HostCounts {
--- a/src/balancer/choice.cpp
+++ b/src/balancer/choice.cpp
@@ -201,11 +201,11 @@
   std::size_t drawBelow(double n) { return static_cast<std::size_t>(drawUnit() * n); }
 
   void emit(ActionKind kind, RequestId id = 0, std::uint32_t attempt = 0, HostId host = kNone,
-            Duration span = {}, Duration begin = Duration::max()) {
-    out.push_back({kind, id, attempt, host, span, {}, begin});
+            Duration span = {}, Duration begin = Duration::max(), GiveUpReason reason = GiveUpReason::none) {
+    out.push_back({kind, id, attempt, host, span, {}, begin, reason});
   }
   void log(std::string text) {
-    out.push_back({ActionKind::log, 0, 0, kNone, {}, std::move(text), {}});
+    out.push_back({ActionKind::log, 0, 0, kNone, {}, std::move(text), {}, GiveUpReason::none});
     logged = now;
   }
   bool mayLog() const { return now - logged >= kLogEvery || logged == Time{}; }
@@ -649,20 +649,22 @@
     freeSlots.push_back(r.slot);
   }
 
-  void finish(Open& r) {  // a refusal claims that a retry is harmless, so it needs proof; else an error
+  void finish(
+      Open& r,
+      GiveUpReason why) {  // a refusal claims that a retry is harmless, so it needs proof; else an error
     const ClassSettings& c = r.cls->set;
     const bool harmless = std::ranges::none_of(r.made(), &Try::mayHaveRun) || c.effect == Effect::retryable ||
                           (c.effect == Effect::dedup && c.group == Group::all && r.out == 0);
-    if (harmless) return refuse(r);
-    emit(ActionKind::fail, r.id);
+    if (harmless) return refuse(r, why);
+    emit(ActionKind::fail, r.id, 0, kNone, {}, Duration::max(), why);
     end(r);
   }
 
   // Retry-after lengthens as the score falls; jittered, or they would all come due together.
-  void refuse(Open& r) {
+  void refuse(Open& r, GiveUpReason why) {
     Duration after{};
     if (set.retryAfter) after = scaled(set.maxRetryAfter, (1 - r.score / 100) * (0.5 + 0.5 * drawUnit()));
-    emit(ActionKind::refuse, r.id, 0, kNone, after);
+    emit(ActionKind::refuse, r.id, 0, kNone, after, Duration::max(), why);
     end(r);
   }
 
@@ -715,7 +717,7 @@
     Turn& turn = turns[r.key];
     const std::size_t ahead = turn.queue.size();
     turn.queue.push_back(r.slot);
-    if (ahead > 0 && hopeless(r, ahead)) return finish(r);
+    if (ahead > 0 && hopeless(r, ahead)) return finish(r, GiveUpReason::queueTooLong);
     guard(r.deadline - set.step, r, Due::answer);
     guard(lastUse(r) - usualTime(r), r, Due::turn);
     turnsDue.push_back(r.key);
@@ -735,14 +737,16 @@
     ++hosts[id].inflight;
   }
 
-  bool send(Open& r) {
+  // Why it was not sent; `none` if it was.
+  GiveUpReason send(Open& r) {
     const Time last = lastUse(r);
-    if (last <= now || r.count >= std::min<std::size_t>(set.maxAttempts, kTries)) return false;
+    if (last <= now) return GiveUpReason::outOfTime;
+    if (r.count >= std::min<std::size_t>(set.maxAttempts, kTries)) return GiveUpReason::attemptsUsed;
     // Danger: what comes with less time than an answer takes now gains little, takes the place of others and
     // feeds an overload. In calm there is room to try.
-    if (cut > 1 && hopeless(r, 0)) return false;
+    if (cut > 1 && hopeless(r, 0)) return GiveUpReason::queueTooLong;
     const HostId id = pick(r);
-    if (id == kNone) return false;
+    if (id == kNone) return GiveUpReason::noHost;
     Host& h = hosts[id];
     if (isCold(h)) h.coldTokens -= 1;
     std::size_t age = idleStep(h);
@@ -758,7 +762,7 @@
     ++r.out;
     emit(ActionKind::send, r.id, r.count, id, last - now, repeatBy(r) - now);
     ++r.count;
-    return true;
+    return GiveUpReason::none;
   }
 
   void onRequest(const Request& q) {
@@ -805,7 +809,7 @@
     smoothHeld += (heldNow() - smoothHeld) * kHeldGain * std::sqrt(evidence());
     renewCut();
     if (r.score < cut) {
-      refuse(r);
+      refuse(r, GiveUpReason::cutoff);
     } else if (inTurn(r)) {
       enqueue(r);
     } else {
@@ -815,7 +819,7 @@
   }
 
   void dispatch(Open& r) {  // its first attempt
-    if (!send(r)) finish(r);
+    if (const GiveUpReason why = send(r); why != GiveUpReason::none) finish(r, why);
     else if (set.parallelTries && !r.uploading && r.cls->set.effect != Effect::fragile && r.cls->norm > 0)
       guard(now + scaled(usualTime(r), kCopyNorms), r, Due::copy);
   }
@@ -843,9 +847,18 @@
     }
     if (r.ended) return release(r);
     if (r.bound || r.out > 0) return;
-    const bool again = lastUse(r) > now && retryTokens >= 1 && a.outcome != Outcome::moot;
-    if (again && send(r)) retryTokens -= 1;
-    else finish(r);
+    const GiveUpReason why = repeat(r, a.outcome);
+    if (why != GiveUpReason::none) finish(r, why);
+  }
+
+  // Why it was not sent again; `none` if it was.
+  GiveUpReason repeat(Open& r, Outcome outcome) {
+    if (outcome == Outcome::moot) return GiveUpReason::notWanted;
+    if (lastUse(r) <= now) return GiveUpReason::outOfTime;
+    if (retryTokens < 1) return GiveUpReason::retryBudget;
+    const GiveUpReason why = send(r);
+    if (why == GiveUpReason::none) retryTokens -= 1;
+    return why;
   }
 
   void onUploaded(RequestId id, Duration left) {
@@ -974,10 +987,11 @@
       // Danger: an outcome that never comes would leave the client without an answer. And a slow host not
       // known yet eats the whole aim: in calm what may be repeated runs once more elsewhere.
       if (g.due == Due::turn && inTurn(*r) && r->count == 0) {
-        if (hopeless(*r, 0)) finish(*r);
+        if (hopeless(*r, 0)) finish(*r, GiveUpReason::queueTooLong);
         turnsDue.push_back(r->key);
-      } else if (g.due == Due::answer) finish(*r);
-      else if (g.due == Due::copy && r->out == 1 && cut <= 1 && retryTokens >= 1 && send(*r))
+      } else if (g.due == Due::answer) finish(*r, GiveUpReason::outOfTime);
+      else if (g.due == Due::copy && r->out == 1 && cut <= 1 && retryTokens >= 1 &&
+               send(*r) == GiveUpReason::none)
         retryTokens -= 1;
     }
     if (now >= nextSweep) {
--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -95,9 +95,16 @@
     write(text.str(), !length);
   }
 
-  void close() {
+  // The first reason counts: one that lingers was ended before.
+  void close(CloseReason reason) {
     if (state_ == State::closed)
       return;
+    const CloseReason counted = endedFor_.value_or(reason);
+    ++server_->closed_[static_cast<std::size_t>(counted)];
+    const bool owed = state_ == State::waiting || state_ == State::uploading;
+    const bool excused = reason == CloseReason::clientLeft || reason == CloseReason::processEnd;
+    if (owed && !excused)
+      server_->callbacks_.closedUnanswered(exchange_, counted);
     enter(State::closed);
     error_code ignored;
     socket_.close(ignored);
@@ -109,7 +116,8 @@
   // A lingering close. Danger: a connection that is closed with unread bytes in it, or that gets more after
   // the close, is reset, and the reset may overtake the answer. So our side ends first, and what the client
   // still sends is read and thrown away until it ends, too: it sends a request that met our end once more.
-  void linger() {
+  void linger(CloseReason reason) {
+    endedFor_ = reason;
     enter(State::lingering);
     since_ = Clock::now();
     buffer_.consume(buffer_.size());
@@ -142,7 +150,7 @@
   void gone() {
     const ExchangeId exchange = exchange_;
     server_->waiting_.erase(exchange);
-    close();
+    close(CloseReason::clientLeft);
     server_->callbacks_.gone(exchange);
   }
 
@@ -153,9 +161,9 @@
     if (!overdue(now))
       return;
     if (state_ == State::idle || state_ == State::head)
-      linger();  // no request that could be answered
+      linger(first_ || state_ == State::head ? CloseReason::incomplete : CloseReason::idle);
     else if (state_ == State::answering || state_ == State::lingering)
-      close();
+      close(CloseReason::stalledReader);
     else
       refuse(http::status::request_timeout);
   }
@@ -251,11 +259,11 @@
   void answered(error_code ec) {
     over(!ec);
     if (ec)
-      return close();
+      return close(CloseReason::clientLeft);
     if (keepAlive_ && !server_->last_)
       next();
     else
-      linger();
+      linger(CloseReason::lastAnswer);
   }
 
   void over(bool whole) {  // the answer
@@ -283,7 +291,7 @@
       if (self->state_ != State::answering)
         return;
       if (ec)
-        return self->close();
+        return self->close(CloseReason::clientLeft);
       self->pump(chunked);
     });
   }
@@ -297,7 +305,7 @@
     if (!piece.empty())
       return write(chunked ? chunkOf(piece) : piece, chunked);
     if (download_->failed())
-      return close();
+      return close(CloseReason::brokenAnswer);
     if (!download_->finished())
       return;
     if (chunked && !std::exchange(lastChunk_, true))
@@ -376,7 +384,7 @@
         keepAlive_ = false;
         return;  // the answer may still arrive
       default:
-        return close();
+        return close(CloseReason::clientLeft);
     }
   }
 
@@ -386,7 +394,7 @@
     readOut_ += socket_.read_some(asio::buffer(thrown), ec);
     const bool none = wouldBlock(ec) || isInterrupted(ec);
     if ((ec && !none) || readOut_ > kLingerBytes)
-      return close();
+      return close(CloseReason::clientLeft);
     watch();
   }
 
@@ -437,7 +445,7 @@
       if (!boost::beast::iequals(head[http::field::expect], "100-continue"))
         return refuse(http::status::expectation_failed);
       if (head.version() == 11 && !sayContinue()) {
-        close();
+        close(CloseReason::clientLeft);
         return false;
       }
     }
@@ -565,6 +573,7 @@
   std::shared_ptr<BodyStream> upload_, download_;
   std::string piece_;  // of the answer or all of it, being written
   State state_ = State::idle;
+  std::optional<CloseReason> endedFor_;
   SessionList* list_ = nullptr;   // that holds this session,
   SessionList::iterator inList_;  // here
   ExchangeId exchange_ = 0;
@@ -617,7 +626,7 @@
   waiting_.clear();
   const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
   for (const auto& session : all)
-    session->close();
+    session->close(CloseReason::processEnd);
 }
 
 std::shared_ptr<ClientServer::Session> ClientServer::takeWaiter(ExchangeId exchange) {
@@ -713,14 +722,14 @@
     leaving = oldestUnfinished();
   if (leaving) {
     leaving_.push_back(leaving);
-    leaving->linger();
+    leaving->linger(CloseReason::madeRoom);
     if (leaving_.size() > kLeaving)
-      std::shared_ptr<Session>(leaving_.front())->close();
+      std::shared_ptr<Session>(leaving_.front())->close(CloseReason::madeRoom);
     return true;
   }
   const std::shared_ptr<Session> lingering = oldestLingering();
   if (lingering)
-    lingering->close();
+    lingering->close(CloseReason::madeRoom);
   return lingering != nullptr;
 }
 
@@ -798,7 +807,7 @@
   const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
   for (const auto& session : all)
     if (session->idle() && !session->fresh(now))
-      session->linger();
+      session->linger(CloseReason::stopping);
   if (sessions_.empty() && onEmpty)
     onEmpty();
 }
--- a/src/gateway/client_server.hpp
+++ b/src/gateway/client_server.hpp
@@ -16,6 +16,7 @@
 #include <unordered_set>
 
 #include "gateway/body_stream.hpp"
+#include "gateway/close_reason.hpp"
 #include "gateway/host_pool.hpp"
 
 namespace hollyrun::gateway {
@@ -45,6 +46,8 @@
     std::function<void(ExchangeId)> uploaded;    // the last byte of its upload has come
     // Answered here, for its form or, if `busy`, for lack of room; no target if it had no whole head.
     std::function<void(const std::string& target, bool busy)> refused;
+    // A connection whose client waits for its answer was closed by this side: a lost request.
+    std::function<void(ExchangeId, CloseReason)> closedUnanswered = [](ExchangeId, CloseReason) {};
   };
 
   using Answered = std::function<void(bool whole)>;  // the answer left whole, or its client before that
@@ -72,6 +75,7 @@
   void lastAnswers();               // from now on every answer closes its connection
   void stopAccepting();  // takes what waits to be accepted, then closes the listener and idle connections
   std::size_t connections() const { return sessions_.size(); }
+  const CloseCounts& closed() const { return closed_; }  // connections so far, by reason
 
   std::function<void()> onEmpty;       // after stopAccepting: the last connection is closed
   std::function<void()> onLastAccept;  // a seam for tests: what waited is taken, the listener still open
@@ -108,6 +112,7 @@
   std::deque<std::shared_ptr<Session>> leaving_;  // they made room and linger, the first for longest
   std::unordered_map<ExchangeId, std::shared_ptr<Session>> waiting_;
   ExchangeId lastExchange_ = 0;
+  CloseCounts closed_{};
   bool last_ = false;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -176,6 +176,12 @@
                 [this](const std::string& target, bool busy) {
                   statistics_.answered(statistics_.classOf(firstPart(target)),
                                        busy ? Statistics::End::busy : Statistics::End::failure, std::nullopt);
+                },
+                [this](ExchangeId exchange, CloseReason reason) {
+                  ++counters_.closedUnanswered;
+                  const auto it = byClient_.find(exchange);
+                  violated("closed_unanswered, " + std::string(nameOf(reason)),
+                           it == byClient_.end() ? "-" : idOf(exchanges_.at(it->second)));
                 }},
                budget_) {
   take(config.module);
@@ -184,15 +190,11 @@
   // The module asks discovery once it was given a list, an empty one too.
   told(config.known ? *config.known : HostList{0, true, {}}, ListKind::restored);
   if (config.management) {
-    management_.emplace(
-        io, *config.management,
-        Management::Callbacks{
-            [this] { return takesClients(); }, [this] { return statistics_.render(gauges()); },
-            [this] {
-              return statistics_.metrics(
-                  gauges(), fleet_ ? fleet_->metrics() : std::vector<prometheus::MetricFamily>());
-            },
-            [this] { return fleet_ ? fleet_->text() : std::string(); }});
+    management_.emplace(io, *config.management,
+                        Management::Callbacks{[this] { return takesClients(); },
+                                              [this] { return statistics_.render(gauges()); },
+                                              [this] { return statistics_.metrics(gauges(), metrics()); },
+                                              [this] { return fleet_ ? fleet_->text() : std::string(); }});
     if (listen_.port() != 0)
       try {  // a port that the kernel picks is shared with nobody
         twin_.emplace(io, config.tmp, listen_, [this] { share(); });
@@ -413,6 +415,10 @@
   exchange.length = request.length;
   exchange.taken = !exchange.upload;
   exchange.came = request.came;
+  if (log_.tracing())
+    log_.trace("taken", {{"request", request.message["X-Request-Id"].to_string()},
+                         {"class", cls.name},
+                         {"left_ms", std::to_string(left / std::chrono::milliseconds(1))}});
   if (exchange.taken)
     statistics_.taken();
   exchange.message = std::move(request.message);
@@ -476,6 +482,8 @@
   Exchange& exchange = exchanges_.at(id);
   exchange.ended = true;
   counting(exchange, Statistics::End::failure)(false);
+  if (log_.tracing())
+    log_.trace("client_left", {{"request", idOf(exchange)}});
   over_.push_back(id);
   const std::uint32_t begun = exchange.begun;  // the exchange may go with the last of them
   balancer_.onClientGone(now(), id);
@@ -513,25 +521,50 @@
                                                       .server = servers_.at(host),
                                                       .history = exchange.history});
   if (admission.denied) {
+    traceAttempt("attempt_denied", exchange, attempt, host, balancer::nameOf(*admission.denied));
     if (balancer::isViolation(*admission.denied))
-      violated(*admission.denied, exchange, attempt);
+      violated(balancer::nameOf(*admission.denied), idOf(exchange));
     const bool gone = *admission.denied == balancer::DenialReason::clientGone;
     return {gone ? Outcome::moot : Outcome::notSent, {}};
   }
-  if (step == HostPool::Step::write)
+  if (step == HostPool::Step::write) {
     exchange.history.wrote(attempt.attempt, servers_.at(host), now());
+    traceAttempt("attempt_begun", exchange, attempt, host,
+                 "told_ms=" + std::to_string(admission.told.count()));
+  }
   return {std::nullopt, admission.told};
 }
 
-void Gateway::violated(balancer::DenialReason reason, const Exchange& exchange, const AttemptKey& attempt) {
-  log_.write(LogLevel::error, "violation", "an attempt that breaks a rule was decided, and is not sent",
-             {{"rule", std::string(balancer::nameOf(reason))},
-              {"request", exchange.message["X-Request-Id"].to_string()},
-              {"attempt", std::to_string(attempt.attempt)}});
+void Gateway::violated(std::string_view rule, const std::string& requestId) {
+  log_.write(LogLevel::error, "violation", "a rule was to be broken",
+             {{"rule", std::string(rule)}, {"request", requestId}});
   if (abortOnViolation_)
     std::abort();
 }
 
+std::string Gateway::idOf(const Exchange& exchange) {
+  return exchange.message["X-Request-Id"].to_string();
+}
+
+void Gateway::traceAttempt(std::string_view step, const Exchange& exchange, const AttemptKey& attempt,
+                           HostId host, std::string_view detail) {
+  if (!log_.tracing())
+    return;
+  const Duration left = exchange.left - (Clock::now() - exchange.came);
+  log_.trace(step, {{"request", idOf(exchange)},
+                    {"attempt", std::to_string(attempt.attempt)},
+                    {"server", balancer_.address(host)},
+                    {"detail", std::string(detail)},
+                    {"left_ms", std::to_string(left / std::chrono::milliseconds(1))}});
+}
+
+std::vector<prometheus::MetricFamily> Gateway::metrics() const {
+  auto families = fleet_ ? fleet_->metrics() : std::vector<prometheus::MetricFamily>();
+  for (auto& family : metricsOf(counters_, guard_, clients_.closed()))
+    families.push_back(std::move(family));
+  return families;
+}
+
 // The time of an upload runs from its last byte.
 void Gateway::uploaded(ExchangeId client) {
   const auto known = byClient_.find(client);
@@ -558,6 +591,8 @@
   Exchange& exchange = it->second;
   --exchange.out;
   exchange.history.ended(end.key.attempt, end.outcome);
+  counters_.ended(end.outcome);
+  traceAttempt("attempt_ended", exchange, end.key, end.host, nameOf(end.outcome));
   over_.push_back(end.key.request);
   if (end.outcome == Outcome::served && !exchange.ended) {
     stripHop(end.answer);
@@ -660,6 +695,10 @@
   if (it == exchanges_.end() || it->second.ended)
     return;
   over_.push_back(action.request);
+  counters_.gaveUp(action.reason);
+  if (log_.tracing())
+    log_.trace(action.kind == ActionKind::refuse ? "refused" : "failed",
+               {{"request", idOf(it->second)}, {"reason", std::string(nameOf(action.reason))}});
   HttpResponse response = plain(action.kind == ActionKind::refuse ? http::status::service_unavailable
                                                                   : http::status::bad_gateway);
   if (action.kind == ActionKind::refuse && action.span > Duration{}) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -20,6 +20,7 @@
 #include "gateway/host_pool.hpp"
 #include "gateway/log.hpp"
 #include "gateway/management.hpp"
+#include "gateway/request_metrics.hpp"
 #include "gateway/server_start_times.hpp"
 #include "gateway/statistics.hpp"
 #include "gateway/twin.hpp"
@@ -85,7 +86,11 @@
   HostPool::Permission permit(const AttemptKey& attempt, balancer::HostId host, HostPool::Step step,
                               balancer::Duration left);
   bool clientPresent(const Exchange& exchange);
-  void violated(balancer::DenialReason reason, const Exchange& exchange, const AttemptKey& attempt);
+  static std::string idOf(const Exchange& exchange);
+  void violated(std::string_view rule, const std::string& requestId);
+  std::vector<prometheus::MetricFamily> metrics() const;
+  void traceAttempt(std::string_view step, const Exchange& exchange, const AttemptKey& attempt,
+                    balancer::HostId host, std::string_view detail);
   void uploaded(ExchangeId exchange);
   void told(const HostList& list, balancer::ListKind kind);
   void note(balancer::HostId id, const balancer::HostEntry& entry);
@@ -136,6 +141,7 @@
   std::uint32_t groupSize_ = 1;  // as configured
   bool carrying_ = false, ready_ = false, shuttingDown_ = false;
   Statistics statistics_;
+  RequestCounters counters_;
   std::optional<Twin> twin_;
   std::optional<FleetLink> fleet_;
   std::optional<Management> management_;
--- a/src/gateway/log.cpp
+++ b/src/gateway/log.cpp
@@ -115,6 +115,11 @@
   line(level, kind, text, fields, std::exchange(k.leftOut, 0));
 }
 
+void Log::trace(std::string_view step, Fields fields) {
+  if (tracing())
+    line(LogLevel::debug, step, "", fields, 0);
+}
+
 void Log::answered(std::string_view request, std::string_view cls, std::string_view end, double ms) {
   if (!access())
     return;
--- a/src/gateway/log.hpp
+++ b/src/gateway/log.hpp
@@ -46,6 +46,11 @@
   /// One answer; `ms` below 0: no request's time is known.
   void answered(std::string_view request, std::string_view cls, std::string_view end, double ms);
 
+  bool tracing() const { return settings_.level == LogLevel::debug; }
+  /// A step of one request, with no limit on their number: at level debug only. Callers ask tracing() first,
+  /// so that the fields cost nothing otherwise.
+  void trace(std::string_view step, Fields fields);
+
   std::uint64_t dropped() const;  ///< since the start, by a full pipe or a closed one
 
  private:
--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -112,7 +112,12 @@
       environment.push_back(variable.data());
     environment.push_back(nullptr);
     char* arguments[] = {program.data(), nullptr};
-    ASSERT_EQ(posix_spawn(&pid, program.c_str(), nullptr, nullptr, arguments, environment.data()), 0);
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    const std::string log = folder + "/log";
+    posix_spawn_file_actions_addopen(&files, STDERR_FILENO, log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+    ASSERT_EQ(posix_spawn(&pid, program.c_str(), &files, nullptr, arguments, environment.data()), 0);
+    posix_spawn_file_actions_destroy(&files);
   }
 
   // Starts the program at a free address, and waits until it follows discovery and takes clients.
@@ -294,6 +299,46 @@
              strerrorname_np(tested.param.second);
     });
 
+// --- Evidence -------------------------------------------------------------------------------------------
+
+// At level debug each step of a request is told by its id; the counters say the same in sum.
+TEST_F(ProcessFaults, EachStepOfARequestIsTracedAndCounted) {
+  tcp::endpoint management;
+  {
+    tcp::acceptor probe(io, loopback());
+    management = probe.local_endpoint();
+  }
+  config["management"] = textOf(management);
+  config["log"] = {{"level", "debug"}};
+  std::size_t attempts = 0;
+  for (int i = 0; i < 2; ++i)
+    addHost([&](PeerConnection& c) {
+      if (attempts++ == 0)
+        return c.reply(answerText(503, "X-Not-Run: 1\r\n", ""));
+      c.reply(answerText(200, "", "x"));
+    });
+  start();
+  EXPECT_EQ(askInTurn(1).count(200), 1u);
+  auto operators = Client::connect(io, management);
+  operators->send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+  ASSERT_TRUE(until([&] { return !operators->answers.empty(); }));
+  const std::string metrics = operators->answers.front().body();
+  for (const char* line : {"hollyrun_attempts_ended_total{outcome=\"full\"} 1",
+                           "hollyrun_attempts_ended_total{outcome=\"served\"} 1",
+                           "hollyrun_violations_total{rule=\"may_repeat\"} 0",
+                           "hollyrun_violations_total{rule=\"closed_unanswered\"} 0",
+                           "hollyrun_dispatch_denied_total{reason=\"client_gone\"} 0",
+                           "hollyrun_client_connections_closed_total{reason=\"made_room\"} 0",
+                           "hollyrun_given_up_total{reason=\"cutoff\"} 0"})
+    EXPECT_NE(metrics.find(line), std::string::npos) << line << "\n" << metrics;
+  std::ifstream log(folder + "/log");
+  const std::string lines{std::istreambuf_iterator<char>(log), {}};
+  for (const char* step :
+       {" taken request=r1", " attempt_begun request=r1 attempt=0", " attempt_ended request=r1 attempt=0",
+        "detail=full", " attempt_begun request=r1 attempt=1", "detail=served"})
+    EXPECT_NE(lines.find(step), std::string::npos) << step << "\n" << lines;
+}
+
 // --- Signals --------------------------------------------------------------------------------------------
 
 // The configuration is a pipe, so that the program is still reading it when the signal comes.
