--- a/tests/bank_test.cpp
+++ b/tests/bank_test.cpp
@@ -229,6 +229,20 @@
   }
 }
 
+// The rule on parallel attempts binds from the reload on, also for what was under way.
+TEST(SecondCopy, IsNotSentOnceAReloadHasForbiddenIt) {
+  Settings s = makeSettings();
+  s.parallelTries = true;
+  Driver d(s, 6);
+  d.warmUp(0, 60);
+  d.forget();
+  d.request(0);
+  s.parallelTries = false;
+  d.balancer.onSettings(d.now, s);
+  d.advance(milliseconds(300));
+  EXPECT_EQ(d.sent.size(), 1u);
+}
+
 // Popular keys heap up on one host unseen by gateways that each hold nothing there; the list tells of it.
 TEST(LiveWeights, ACrowdedHostLosesShareAndGetsItBack) {
   Settings s = makeSettings();
