--- a/src/balancer/choice.cpp
+++ b/src/balancer/choice.cpp
@@ -824,6 +824,11 @@
       guard(now + scaled(usualTime(r), kCopyNorms), r, Due::copy);
   }
 
+  // Asked as the copy is due: a reload may have forbidden copies since its timer was set.
+  bool mayCopy(const Open& r) const {
+    return set.parallelTries && r.out == 1 && cut <= 1 && retryTokens >= 1;
+  }
+
   void onResult(const AttemptResult& a) {
     Open* found = find(a.request);
     if (!found || a.attempt >= found->count || !found->tries[a.attempt].out) return;
