--- a/src/balancer/choice.cpp
+++ b/src/balancer/choice.cpp
@@ -995,9 +995,7 @@
         if (hopeless(*r, 0)) finish(*r, GiveUpReason::queueTooLong);
         turnsDue.push_back(r->key);
       } else if (g.due == Due::answer) finish(*r, GiveUpReason::outOfTime);
-      else if (g.due == Due::copy && r->out == 1 && cut <= 1 && retryTokens >= 1 &&
-               send(*r) == GiveUpReason::none)
-        retryTokens -= 1;
+      else if (g.due == Due::copy && mayCopy(*r) && send(*r) == GiveUpReason::none) retryTokens -= 1;
     }
     if (now >= nextSweep) {
       nextSweep = now + kSweep;
