Lab: a soak of real processes under troubles that overlap, judged by their peers

Need: the rig's clients ask again and its checker does not count a connection that is closed with no answer, so failing calls passed there. Change: hollyrun-lab soak starts ten processes of the program with the fault library, clients that ask once, servers and a discovery of its own; eighteen kinds of trouble are drawn from the seed, about two a second (SIGTERM, SIGKILL, SIGSTOP short and long, SIGHUP with a good and a half file, clock steps, short, interrupted and failing calls, servers that drain, hang, reset or refuse, discovery silent or closed, clients that leave). The ledger judges by what the peers saw: one answer, attempts after a leaving, the deadline told, drains, repeats by effect and window, slow start, processes that serve nobody, ready within 10 s, crashes, descriptors and memory. A late loop voids the run. Not in it yet: upgrades, a failing disk, a proxy on connections.

--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -25,6 +25,7 @@
 #include "lab/simulation/member_faults.hpp"
 #include "lab/simulation/members.hpp"
 #include "lab/simulation/scenario.hpp"
+#include "lab/soak/soak_command.hpp"
 
 using namespace hollyrun::lab;
 
@@ -569,6 +570,7 @@
       ->check(CLI::Range(1, 12));
   all->add_option("--crashes", o.crashes, "with it: the most on a way")->capture_default_str();
   ScaleCommand scale(app);
+  SoakCommand soak(app);
   CLI::App* costs = add("cost", "processor time and memory of the decision module alone", cost);
   costs->add_option("--hosts", o.hosts, "numbers of servers")->check(CLI::Range(1, 60000));
   costs->add_option("--tenants", o.tenants, "numbers of tenants")->check(CLI::Range(0, 1000000));
@@ -585,6 +587,8 @@
     return code == 0 ? 0 : kWrong;
   }
   try {
+    if (soak.named())
+      return soak.run();
     return command ? command(o) : scale.run(argc, argv);
   } catch (const std::exception& e) {
     fmt::print(stderr, "{}\n", e.what());
--- /dev/null
+++ b/src/lab/soak/soak_command.cpp
@@ -0,0 +1,78 @@
+#include "lab/soak/soak_command.hpp"
+
+#include <cmath>
+#include <cstdio>
+
+namespace hollyrun::lab {
+namespace {
+
+constexpr int kPass = 0, kBroken = 1, kVoid = 3;
+
+const char* nameOf(SoakVerdict verdict) {
+  switch (verdict) {
+    case SoakVerdict::pass:
+      return "pass";
+    case SoakVerdict::broken:
+      return "BROKEN";
+    case SoakVerdict::voided:
+      return "void";
+  }
+  return "";
+}
+
+void print(std::uint64_t seed, const SoakResult& result) {
+  std::printf(
+      "seed %llu: %s, %zu requests, %zu served, %zu refused, %zu troubles, loop late %.0f ms at most\n",
+      static_cast<unsigned long long>(seed), nameOf(result.verdict), result.requests, result.served,
+      result.refused, result.troubles.size(), result.lagMs);
+  for (const SoakBreak& one : result.breaks)
+    std::printf("  %s %s: %s\n", std::string(lab::nameOf(one.rule)).c_str(), one.request.c_str(),
+                one.text.c_str());
+  if (result.verdict == SoakVerdict::broken)
+    for (std::size_t i = 0; i < result.troubles.size(); ++i)
+      std::printf("  trouble %zu: %s\n", i, textOf(result.troubles[i]).c_str());
+  if (!result.folder.empty())
+    std::printf("  logs in %s\n", result.folder.c_str());
+  std::fflush(stdout);
+}
+
+}  // namespace
+
+SoakCommand::SoakCommand(CLI::App& app)
+    : soak_(app.add_subcommand("soak", "real processes under troubles that overlap, judged by their peers")) {
+  soak_->add_option("--program", plan_.program, "the built hollyrun")->required();
+  soak_->add_option("--library", plan_.library, "the built fault library; none: no failing calls, no clocks");
+  soak_->add_option("--seed", plan_.seed, "the first seed");
+  soak_->add_option("--seeds", seeds_, "how many seeds to play, one after the other");
+  soak_->add_option("--for", seconds_, "seconds of load")->check(CLI::Range(5.0, 3600.0));
+  soak_->add_option("--gateways", plan_.gateways, "processes")->check(CLI::Range(1, 40));
+  soak_->add_option("--rate", plan_.rate, "requests a second over all of them");
+  soak_->add_option("--only", plan_.only, "the numbers of the troubles to play, to shrink a broken seed")
+      ->delimiter(',');
+  soak_->add_flag("--keep-logs", plan_.keepLogs, "keep the processes' configurations and logs");
+}
+
+int SoakCommand::run() {
+  plan_.length = std::chrono::milliseconds(std::llround(seconds_ * 1000));
+  std::map<std::string, std::size_t> kinds, pairs;
+  std::size_t broken = 0, voided = 0;
+  const std::uint64_t first = plan_.seed;
+  for (; plan_.seed < first + seeds_; ++plan_.seed) {
+    const SoakResult result = playSoak(plan_);
+    print(plan_.seed, result);
+    broken += result.verdict == SoakVerdict::broken ? 1 : 0;
+    voided += result.verdict == SoakVerdict::voided ? 1 : 0;
+    for (const SoakTrouble& trouble : result.troubles)
+      ++kinds[lab::nameOf(trouble.kind)];
+    for (const auto& [pair, count] : overlaps(result.troubles))
+      pairs[pair] += count;
+  }
+  for (const auto& [kind, count] : kinds)
+    std::printf("%6zu %s\n", count, kind.c_str());
+  std::printf("%zu of %zu pairs of kinds overlapped\n", pairs.size(),
+              kTroubleKinds * (kTroubleKinds + 1) / 2);
+  std::printf("%llu seeds: %zu broken, %zu void\n", static_cast<unsigned long long>(seeds_), broken, voided);
+  return broken > 0 ? kBroken : voided > 0 ? kVoid : kPass;
+}
+
+}  // namespace hollyrun::lab
--- /dev/null
+++ b/src/lab/soak/troubles.cpp
@@ -0,0 +1,77 @@
+#include "lab/soak/troubles.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace hollyrun::lab {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::array<const char*, kTroubleKinds> kNames = {
+    "gateway_term", "gateway_kill", "gateway_pause", "gateway_stop",     "gateway_reload",   "bad_reload",
+    "clock_step",   "short_calls",  "interrupted",   "accept_fails",     "dial_fails",       "server_drain",
+    "server_hang",  "server_reset", "server_refuse", "discovery_silent", "discovery_closed", "clients_leave"};
+
+constexpr auto kMeanBetween = 500ms;  // so two or three are on at most times
+constexpr auto kQuietEnd = 3000ms;    // all is undone by then
+
+// splitmix64, so that a seed draws the same with every standard library.
+class Draws {
+ public:
+  explicit Draws(std::uint64_t seed) : state_(seed) {}
+  std::uint64_t next() {
+    std::uint64_t x = state_ += 0x9e3779b97f4a7c15ULL;
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31);
+  }
+  std::chrono::milliseconds between(std::chrono::milliseconds least, std::chrono::milliseconds most) {
+    return least + std::chrono::milliseconds(next() % static_cast<std::uint64_t>((most - least).count() + 1));
+  }
+
+ private:
+  std::uint64_t state_;
+};
+
+std::chrono::milliseconds spanOf(TroubleKind kind, Draws& draws) {
+  switch (kind) {
+    case TroubleKind::gatewayPause:
+      return draws.between(20ms, 150ms);
+    case TroubleKind::gatewayStop:
+      return draws.between(300ms, 1500ms);
+    case TroubleKind::serverDrain:
+      return draws.between(1500ms, 4000ms);
+    default:
+      return draws.between(300ms, 2500ms);
+  }
+}
+
+}  // namespace
+
+const char* nameOf(TroubleKind kind) {
+  return kNames[static_cast<std::size_t>(kind)];
+}
+
+std::vector<SoakTrouble> drawTroubles(std::uint64_t seed, std::chrono::milliseconds length) {
+  Draws draws(seed);
+  std::vector<SoakTrouble> all;
+  const auto end = length - kQuietEnd;
+  for (auto at = draws.between(500ms, 1000ms); at < end; at += draws.between(0ms, 2 * kMeanBetween)) {
+    SoakTrouble trouble;
+    trouble.kind = static_cast<TroubleKind>(draws.next() % kTroubleKinds);
+    trouble.whom = draws.next() % 1'000'000;
+    trouble.at = at;
+    trouble.span = std::min(spanOf(trouble.kind, draws), end - at);
+    trouble.draw = draws.next();
+    all.push_back(trouble);
+  }
+  return all;
+}
+
+std::string textOf(const SoakTrouble& trouble) {
+  return std::string(nameOf(trouble.kind)) + " of " + std::to_string(trouble.whom) + " at " +
+         std::to_string(trouble.at.count()) + " ms for " + std::to_string(trouble.span.count()) + " ms";
+}
+
+}  // namespace hollyrun::lab
