Module: a large fleet is chosen from by candidates, by itself; open connections go first

Change: from 600 listed hosts on, back at 450, a request chooses among 64 candidates where the settings name none, and of the hosts that share its key one with an open connection goes first. Below that, and where the settings name candidates, nothing changes. The soak now prints the kernel's sockets at an address that a process could not have.

--- a/src/balancer/choice.cpp
+++ b/src/balancer/choice.cpp
@@ -77,6 +77,8 @@
 constexpr double kWidthParts = 4;
 constexpr std::uint32_t kRound = 16;       // gateways dealt out over the pool at a time
 constexpr std::uint32_t kRoundsLeast = 4;  // with candidates: full rounds at least, so gateways of each host
+constexpr std::size_t kLargeFleet = 600;   // hosts from which on a request chooses among few of them,
+constexpr std::uint32_t kLargeCandidates = 64;  // so many; back to all at three quarters of it
 constexpr std::uint64_t kPoints = 8;  // of a host on the ring; with one, some get half as many keys again
 constexpr Duration kIdleClose = seconds(5);    // beyond its own hosts a gateway gives connections back
 constexpr Duration kConnectRest = seconds(1);  // none to be had: down or at its cap; doubled as ejections are
@@ -125,6 +127,7 @@
   std::vector<HostId> listed;       // phase `in`, in order of address: the same order at every start
   std::vector<Point> order;         // the same hosts, this gateway's own first
   std::vector<Point> ring;          // the same hosts for keys, at the same places at all gateways
+  std::uint32_t candidates = 0;     // that a request chooses from; 0 = all
   std::size_t part = 0, width = 0;  // of `order`: this gateway's own; those in use while one of them is idle
   std::uint64_t walks = 0;
   std::vector<std::shared_ptr<ClassState>> classes;  // those in the settings and, at last, the unknown one
@@ -561,13 +564,13 @@
   // All hosts; or, with candidates set, few of them: for a key those from its place on the ring on, which is
   // the same at all gateways, else some of this gateway's own. Where these are not ready the walk goes on.
   Walk walkOf(const Open& r) {
-    if (set.candidates == 0 || set.candidates >= listed.size()) return {order, order.size(), 0, width};
+    if (candidates == 0 || candidates >= listed.size()) return {order, order.size(), 0, width};
     if (!set.warmKeys || !r.hasKey)
-      return {order, part, drawBelow(part), std::min<std::size_t>(set.candidates, part)};
+      return {order, part, drawBelow(part), std::min<std::size_t>(candidates, part)};
     // A favourite key has as many places as the hosts that share it want.
-    const std::uint64_t place = mix(r.key + drawBelow(spreadOf(r.key) / set.candidates + 1));
+    const std::uint64_t place = mix(r.key + drawBelow(spreadOf(r.key) / candidates + 1));
     const auto start = std::lower_bound(ring.begin(), ring.end(), Point{place, 0}) - ring.begin();
-    return {ring, ring.size(), static_cast<std::size_t>(start), set.candidates};
+    return {ring, ring.size(), static_cast<std::size_t>(start), candidates};
   }
 
   void gather(const Open& r, bool relaxed) {
@@ -611,6 +614,12 @@
                         [&](HostId a, HostId b) { return hosts[a].rank < hosts[b].rank; });
       ready.resize(most);
       const std::size_t start = spread > 1 ? drawBelow(std::min(spread, most)) : 0;
+      // A large fleet is met so thinly that nearly each request would open a connection.
+      if (candidates > 0 && set.candidates == 0)
+        for (std::size_t i = 0; i < most; ++i) {
+          const HostId id = ready[(start + i) % most];
+          if (free(hosts[id]) && idle(hosts[id])) return id;
+        }
       for (std::size_t i = 0; i < most; ++i) {
         const HostId id = ready[(start + i) % most];
         if (idle(hosts[id]) && drawUnit() < hosts[id].share) return id;
@@ -934,8 +943,21 @@
     index();
   }
 
+  // On a large fleet a request chooses among few hosts, also where the settings ask for all: what a choice
+  // costs, and the connections that it leads to, may not grow with the fleet. The two ways order hosts
+  // differently, so all are put in order anew as one takes over.
+  void chooseAmongFew() {
+    const auto in = static_cast<std::size_t>(
+        std::ranges::count_if(hosts, [](const Host& h) { return h.entry.phase == Phase::in; }));
+    const std::size_t least = candidates > 0 ? kLargeFleet - kLargeFleet / 4 : kLargeFleet;
+    const std::uint32_t wanted = set.candidates > 0 ? set.candidates : in >= least ? kLargeCandidates : 0;
+    if (std::exchange(candidates, wanted) == wanted) return;
+    for (Host& h : hosts) h.indexed = false;
+  }
+
   // Takes hosts that have gone out of the lists kept in order, and merges in those that have come.
   void index() {
+    chooseAmongFew();
     const auto stays = [&](HostId id) { return hosts[id].indexed && hosts[id].entry.phase == Phase::in; };
     const auto gone = [&](const Point& p) { return !stays(p.host); };
     std::vector<HostId> come;
@@ -944,7 +966,7 @@
     // Own hosts first. Hosts lie on a ring, in an order of its own for every round of gateways, and these
     // start evenly around it: hosts that come or go move only their neighbours. Keys are kept warm by all.
     // With candidates a part ends where the next gateway's begins: a full round keeps each host once.
-    const bool few = set.candidates > 0;
+    const bool few = candidates > 0;
     const std::uint32_t round = few ? std::bit_floor(std::max(set.groupSize / kRoundsLeast, 1u)) : kRound;
     const std::uint64_t salt = mix(set.number / round), arc = UINT64_MAX / round;
     std::vector<Point> places, points;
--- a/src/lab/soak/soak.cpp
+++ b/src/lab/soak/soak.cpp
@@ -84,6 +84,18 @@
   FaultPage* page_ = nullptr;
 };
 
+// The kernel's lines of the sockets at this port: the evidence for an address that could not be had.
+std::string socketsAt(unsigned short port) {
+  std::ifstream table("/proc/net/tcp");
+  char local[16];
+  std::snprintf(local, sizeof local, ":%04X ", port);
+  std::string found;
+  for (std::string line; std::getline(table, line);)
+    if (line.find(local) != std::string::npos)
+      found += "\n    " + line;
+  return found;
+}
+
 std::size_t descriptorsOf(pid_t pid) {
   std::error_code ec;
   fs::directory_iterator entries("/proc/" + std::to_string(pid) + "/fd", ec);
@@ -299,7 +311,7 @@
                   process.name + " ended with " +
                       (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
                                            : "code " + std::to_string(WEXITSTATUS(status))) +
-                      ": " + process.lastLine);
+                      ": " + process.lastLine + socketsAt(gateways_[number].port->endpoint().port()));
   if (!closing_)
     startGateway(number);
 }
--- a/tests/candidates_test.cpp
+++ b/tests/candidates_test.cpp
@@ -377,6 +377,28 @@
 // --- Settings
 // -----------------------------------------------------------------------------------------------
 
+// With no setting for it, a fleet several times the usual one is chosen from by its candidates only.
+TEST(Candidates, ALargeFleetTurnsThemOnByItself) {
+  constexpr int kUsual = 500, kLarge = 1000;
+  Settings s = settingsOf(0, 200);
+  s.warmKeys = true;
+  const auto usual = driverOf(s, hostsOf(kUsual)), large = driverOf(s, hostsOf(kLarge));
+  EXPECT_GT(servedBy(*usual, 400).size(), 100u);
+  const std::size_t met = servedBy(*large, 400).size();
+  EXPECT_GE(met, 6u);
+  EXPECT_LE(met, 64u);
+}
+
+TEST(Candidates, AFleetThatShrinksIsChosenFromInFullAgain) {
+  const Settings s = settingsOf(0);
+  const auto d = driverOf(s, hostsOf(1000));
+  tell(*d, ListKind::replace, hostsOf(100));
+  EXPECT_EQ(servedBy(*d, 3000).size(), 100u);
+  tell(*d, ListKind::replace, hostsOf(1000));
+  for (int i = 0; i < 100; ++i)
+    EXPECT_NE(served(*d), "none");
+}
+
 TEST(Candidates, TurnedOnAndOffUnderWay) {
   const std::vector<HostEntry> hosts = hostsOf(200);
   Settings s = settingsOf(0, 20, 3);
