--- a/src/lab/soak/soak.cpp
+++ b/src/lab/soak/soak.cpp
@@ -600,7 +600,7 @@
       const SoakTrouble &a = troubles[i], &b = troubles[j];
       if (a.at >= b.at + b.span || b.at >= a.at + a.span)
         continue;
-      const auto names = std::minmax(std::string(nameOf(a.kind)), std::string(nameOf(b.kind)));
+      const auto names = std::minmax({std::string(nameOf(a.kind)), std::string(nameOf(b.kind))});
       ++pairs[names.first + " + " + names.second];
     }
   return pairs;
