--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/file.h>
 #include <sys/mman.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -299,6 +300,49 @@
              strerrorname_np(tested.param.second);
     });
 
+// --- The announcement of this process to another one of its address --------------------------------------
+
+class FailingAnnouncements : public ProcessFaults,
+                             public ::testing::WithParamInterface<std::pair<FaultyCall, int>> {
+ protected:
+  // The files of processes that serve this address, with a lock on each.
+  std::size_t announced() const {
+    std::size_t count = 0;
+    for (const auto& entry : std::filesystem::directory_iterator(folder))
+      count += entry.path().filename().string().rfind("gateway-", 0) == 0 && locked(entry.path()) ? 1 : 0;
+    return count;
+  }
+
+ private:
+  static bool locked(const std::filesystem::path& path) {
+    const int file = ::open(path.c_str(), O_RDWR | O_CLOEXEC);
+    const bool held = file >= 0 && ::flock(file, LOCK_EX | LOCK_NB) != 0;
+    ::close(file);
+    return held;
+  }
+};
+
+TEST_P(FailingAnnouncements, AreMadeAgain) {
+  addHost(answering("x"));
+  config["management"] = "127.0.0.1:0";
+  faults->of(GetParam().first).error = GetParam().second;
+  faults->of(GetParam().first).oneIn = 1;
+  start();
+  EXPECT_GT(faults->of(GetParam().first).injected.load(), 0u);
+  faults->of(GetParam().first).oneIn = 0;
+  EXPECT_TRUE(until([&] { return announced() == 1; }));
+  EXPECT_EQ(askInTurn(1).count(200), 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Errors, FailingAnnouncements,
+                         ::testing::Values(std::pair(FaultyCall::open, ENOSPC),
+                                           std::pair(FaultyCall::open, EIO),
+                                           std::pair(FaultyCall::lock, EINTR)),
+                         [](const auto& tested) {
+                           return std::string(tested.param.first == FaultyCall::open ? "Open" : "Lock") +
+                                  strerrorname_np(tested.param.second);
+                         });
+
 // --- Evidence -------------------------------------------------------------------------------------------
 
 // At level debug each step of a request is told by its id; the counters say the same in sum.
