Upgrade: an announcement that fails is made again at each look

Change: the announcement is tried at the start and then every 100 ms; a lock that is interrupted counts as not had, and an interrupted look at another's lock as nothing new.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -195,12 +195,11 @@
                                               [this] { return statistics_.render(gauges()); },
                                               [this] { return statistics_.metrics(gauges(), metrics()); },
                                               [this] { return fleet_ ? fleet_->text() : std::string(); }});
-    if (listen_.port() != 0)
-      try {  // a port that the kernel picks is shared with nobody
-        twin_.emplace(io, config.tmp, listen_, [this] { share(); });
-      } catch (const std::runtime_error& bad) {  // it serves alone
-        log_.write(LogLevel::warning, "upgrade", bad.what());
-      }
+    if (listen_.port() != 0)  // a port that the kernel picks is shared with nobody
+      twin_.emplace(io, config.tmp, listen_, [this] { share(); });
+    if (twin_ && !twin_->announced())
+      log_.write(LogLevel::warning, "upgrade",
+                 "cannot announce this process in " + config.tmp + " for now, and tries again");
   }
   join(config);
   if (twin_ && twin_->present()) {
--- a/src/gateway/twin.cpp
+++ b/src/gateway/twin.cpp
@@ -8,9 +8,7 @@
 
 #include <cerrno>
 #include <chrono>
-#include <cstring>
 #include <filesystem>
-#include <stdexcept>
 #include <utility>
 
 namespace hollyrun::gateway {
@@ -18,27 +16,44 @@
 
 constexpr auto kLook = std::chrono::milliseconds(100);
 
+// Nobody else knows the new file yet, so the lock is to be had at once; what interrupts it is tried at the
+// next look.
+bool lock(int file) {
+  return ::flock(file, LOCK_EX | LOCK_NB) == 0;
+}
+
 }  // namespace
 
 Twin::Twin(boost::asio::io_context& io, const std::string& folder,
            const boost::asio::ip::tcp::endpoint& address, std::function<void()> changed)
     : folder_(folder),
       prefix_("gateway-" + address.address().to_string() + "-" + std::to_string(address.port()) + "."),
-      own_(folder + "/" + prefix_ + "XXXXXX"),
       changed_(std::move(changed)),
       timer_(io) {
-  file_ = ::mkostemp(own_.data(), O_CLOEXEC);
-  if (file_ < 0 || ::flock(file_, LOCK_EX) != 0) {
-    const std::string why = std::strerror(errno);
-    if (file_ >= 0)
-      ::close(file_);
-    throw std::runtime_error("cannot announce this process in " + folder + ": " + why);
-  }
+  announce();
   present_ = look();
   watch();
 }
 
+// Danger: the disk may be full or a call interrupted for a moment; a process that stays unannounced shares
+// its limits with nobody.
+void Twin::announce() {
+  std::string path = folder_ + "/" + prefix_ + "XXXXXX";
+  const int file = ::mkostemp(path.data(), O_CLOEXEC);
+  if (file < 0)
+    return;
+  if (!lock(file)) {
+    ::unlink(path.c_str());
+    ::close(file);
+    return;
+  }
+  file_ = file;
+  own_ = std::move(path);
+}
+
 Twin::~Twin() {
+  if (!announced())
+    return;
   ::unlink(own_.c_str());
   ::close(file_);
 }
@@ -46,7 +61,9 @@
 // Danger: a killed process leaves its file. Its lock is gone with it, so who gets the lock removes the file;
 // one that a process has made and not yet locked may go with it, which that process's next look mends.
 bool Twin::look() {
-  if (::access(own_.c_str(), F_OK) != 0) {
+  if (!announced())
+    announce();
+  if (announced() && ::access(own_.c_str(), F_OK) != 0) {
     const int again = ::open(own_.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600);
     if (again >= 0 && ::flock(again, LOCK_EX | LOCK_NB) == 0)
       ::close(std::exchange(file_, again));
@@ -64,8 +81,8 @@
       continue;
     if (::flock(file, LOCK_EX | LOCK_NB) == 0)
       ::unlink(path.c_str());
-    else
-      other = true;
+    else  // a look that was interrupted tells nothing new
+      other = other || errno == EWOULDBLOCK || present_;
     ::close(file);
   }
   return other;
--- a/src/gateway/twin.hpp
+++ b/src/gateway/twin.hpp
@@ -12,7 +12,7 @@
 class Twin {
  public:
   // Announces this process, by a locked file in `folder`, to the others that serve `address`. `changed` is
-  // called when another comes or the last goes. Throws std::runtime_error.
+  // called when another comes or the last goes. An announcement that fails is made again at each look.
   Twin(boost::asio::io_context& io, const std::string& folder, const boost::asio::ip::tcp::endpoint& address,
        std::function<void()> changed);
   ~Twin();
@@ -20,15 +20,17 @@
   Twin& operator=(const Twin&) = delete;
 
   bool present() const { return present_; }
+  bool announced() const { return file_ >= 0; }
 
   // Leads every new connection of the address to the listener that joined its group last.
   static void steerToLatest(int listener);
 
  private:
+  void announce();
   bool look();
   void watch();
 
-  std::string folder_, prefix_, own_;
+  std::string folder_, prefix_, own_;  // own_: the path of this process's file, once it is announced
   std::function<void()> changed_;
   boost::asio::steady_timer timer_;
   int file_ = -1;
