--- a/src/lab/faults/fault_library.cpp
+++ b/src/lab/faults/fault_library.cpp
@@ -7,6 +7,7 @@
 #include <sys/file.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/uio.h>
 #include <unistd.h>
 
@@ -93,11 +94,10 @@
   return false;
 }
 
-bool isSocket(int descriptor) {
-  int type = 0;
-  socklen_t length = sizeof type;
+bool isRegularFile(int descriptor) {
+  struct stat status {};
   const int before = errno;
-  const bool is = ::getsockopt(descriptor, SOL_SOCKET, SO_TYPE, &type, &length) == 0;
+  const bool is = ::fstat(descriptor, &status) == 0 && S_ISREG(status.st_mode);
   errno = before;
   return is;
 }
@@ -188,7 +188,7 @@
 
 ssize_t read(int descriptor, void* data, std::size_t size) {
   static auto* const real = next<ssize_t(int, void*, std::size_t)>("read");
-  if (!isSocket(descriptor) && failsOrShortens(FaultyCall::read, size))
+  if (isRegularFile(descriptor) && failsOrShortens(FaultyCall::read, size))
     return -1;
   return real(descriptor, data, size);
 }
--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -132,6 +132,10 @@
     spawn();
     ASSERT_TRUE(until([&] { return !discovery.held.empty() && up(); }));
   }
+  std::string log() const {
+    std::ifstream file(folder + "/log");
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
   bool ended() {
     siginfo_t info{};
     return ::waitid(P_PID, static_cast<id_t>(pid), &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
@@ -300,6 +304,21 @@
              strerrorname_np(tested.param.second);
     });
 
+// --- Reloads --------------------------------------------------------------------------------------------
+
+TEST_F(ProcessFaults, AFileThatCannotBeReadAtAHangupChangesNothing) {
+  addHost(answering("x"));
+  start();
+  faults->of(FaultyCall::read).error = EIO;
+  faults->of(FaultyCall::read).oneIn = 1;
+  ::kill(pid, SIGHUP);
+  ASSERT_TRUE(until([&] { return faults->of(FaultyCall::read).injected > 0; }));
+  faults->of(FaultyCall::read).oneIn = 0;
+  EXPECT_TRUE(until([&] { return ended() || log().find("not reloaded") != std::string::npos; }));
+  ASSERT_FALSE(ended());
+  EXPECT_EQ(askInTurn(1).count(200), 1u);
+}
+
 // --- The announcement of this process to another one of its address --------------------------------------
 
 class FailingAnnouncements : public ProcessFaults,
@@ -375,8 +394,7 @@
                            "hollyrun_client_connections_closed_total{reason=\"made_room\"} 0",
                            "hollyrun_given_up_total{reason=\"cutoff\"} 0"})
     EXPECT_NE(metrics.find(line), std::string::npos) << line << "\n" << metrics;
-  std::ifstream log(folder + "/log");
-  const std::string lines{std::istreambuf_iterator<char>(log), {}};
+  const std::string lines = log();
   for (const char* step :
        {" taken request=r1", " attempt_begun request=r1 attempt=0", " attempt_ended request=r1 attempt=0",
         "detail=full", " attempt_begun request=r1 attempt=1", "detail=served"})
