Configuration: a file is read whole before it is parsed, and no error of it ends a process

Change: the text is read first, what cannot be read is a fault by its place; the reload keeps what it has at any error.

--- a/src/gateway/keys.cpp
+++ b/src/gateway/keys.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <fstream>
 #include <functional>
+#include <iterator>
 #include <optional>
 #include <set>
 #include <sstream>
@@ -205,10 +206,34 @@
   }
 }
 
+// None if not all of it could be read. Danger: a parser that reads the file itself takes an error in its
+// middle for its end, or throws what nobody expects.
+std::optional<std::string> contentsOf(const std::string& path) {
+  try {
+    std::ifstream file(path);
+    file.exceptions(std::ios::badbit);
+    if (!file)
+      return std::nullopt;
+    return std::string(std::istreambuf_iterator<char>(file), {});
+  } catch (const std::ios_base::failure&) {
+    return std::nullopt;
+  }
+}
+
+ReadFile unreadable(const std::string& path) {
+  ReadFile out;
+  out.json = json::object();
+  out.faults.push_back({path, "file", "cannot be read"});
+  return out;
+}
+
 ReadFile readToml(const std::string& path) {
+  const std::optional<std::string> text = contentsOf(path);
+  if (!text)
+    return unreadable(path);
   ReadFile out;
   try {
-    const toml::table root = toml::parse_file(path);
+    const toml::table root = toml::parse(*text, path);
     Reader reader(path, out);
     reader.table(root, topKeys(), "", out.json);
     reader.list(root, "class", classKeys(), out.json["settings"]["grades"]);
@@ -224,11 +249,12 @@
 }
 
 ReadFile readJson(const std::string& path) {
+  const std::optional<std::string> text = contentsOf(path);
+  if (!text)
+    return unreadable(path);
   ReadFile out;
-  std::ifstream file(path);
-  if (!file)
-    out.faults.push_back({path, "file", "cannot be read"});
-  else if (out.json = json::parse(file, nullptr, false); out.json.is_discarded() || !out.json.is_object())
+  out.json = json::parse(*text, nullptr, false);
+  if (out.json.is_discarded() || !out.json.is_object())
     out.faults.push_back({path, "file", "holds no JSON object"}), out.json = json::object();
   return out;
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -39,7 +39,7 @@
     log.set(running.log);
     warn(running, log);
     log.write(LogLevel::info, "configuration", "configuration reloaded");
-  } catch (const BadConfig& bad) {
+  } catch (const std::exception& bad) {  // BadConfig, or what the system refuses
     gateway.reloadFailed();
     log.write(LogLevel::error, "configuration", std::string("configuration not reloaded: ") + bad.what());
   }
