Gateway: HotRestart in place of Twin; the form of a request has a file of its own

Need (readable code): the field's name for the other process of an upgrade, and gateway.cpp told of two jobs. Names and places only; the functions are as they were.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,6 +11,8 @@
 #include <cstdlib>
 #include <utility>
 
+#include "gateway/request_form.hpp"
+
 namespace hollyrun::gateway {
 namespace {
 
@@ -49,77 +51,6 @@
   return error == std::errc{} && end == text.data() + text.size();
 }
 
-// The first part of the path: "checkout" of "/checkout/7?x=1".
-std::string_view firstPart(string_view target) {
-  std::string_view path(target.data(), target.size());
-  if (path.empty() || path.front() != '/')
-    return {};
-  path.remove_prefix(1);
-  return path.substr(0, path.find_first_of("/?"));
-}
-
-// The value of one cookie, or nothing.
-std::string_view cookie(string_view header, std::string_view name) {
-  std::string_view rest(header.data(), header.size());
-  while (!rest.empty()) {
-    const std::size_t end = std::min(rest.find(';'), rest.size());
-    std::string_view one = rest.substr(0, end);
-    rest.remove_prefix(std::min(end + 1, rest.size()));
-    one.remove_prefix(std::min(one.find_first_not_of(' '), one.size()));
-    if (one.size() > name.size() && one.substr(0, name.size()) == name && one[name.size()] == '=')
-      return one.substr(name.size() + 1);
-  }
-  return {};
-}
-
-std::uint64_t keyOf(std::string_view text) {
-  std::uint64_t key = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), key, 16);
-  return error == std::errc{} && end == text.data() + text.size() ? key : std::hash<std::string_view>{}(text);
-}
-
-// What concerns one connection only is not passed on (RFC 9110, 7.6.1).
-template <class Message>
-void stripHop(Message& message) {
-  std::vector<std::string> named;
-  for (const auto& token : http::token_list(message[http::field::connection]))
-    named.push_back(token.to_string());
-  for (const std::string& name : named)
-    message.erase(name);
-  for (const http::field f :
-       {http::field::connection, http::field::keep_alive, http::field::proxy_connection, http::field::te,
-        http::field::trailer, http::field::transfer_encoding, http::field::upgrade, http::field::expect})
-    message.erase(f);
-}
-
-// A target may name the server, too (RFC 9112, 3.2.2); that goes before Host then. False if it names none.
-bool toOriginForm(HttpRequest& message) {
-  const std::string target = message.target().to_string();
-  if (!boost::beast::iequals(target.substr(0, 7), "http://"))
-    return true;
-  const std::size_t path = std::min(target.find_first_of("/?", 7), target.size());
-  if (path == 7 || message.count(http::field::host) != 1)
-    return false;
-  message.set(http::field::host, target.substr(7, path - 7));
-  message.target(path < target.size() && target[path] == '/' ? target.substr(path)
-                                                             : "/" + target.substr(path));
-  return true;
-}
-
-// `ok` if the message has one clear end (RFC 9112, 6), else the status to answer. Danger: the parser takes a
-// body in a coding that it doesn't know, or with no length, for the next request.
-http::status judgeFraming(const HttpRequest& message, bool hasBody) {
-  if (message.version() != 11)
-    return http::status::http_version_not_supported;
-  const bool coded = message.count(http::field::transfer_encoding) > 0;
-  if (coded && !boost::beast::iequals(message[http::field::transfer_encoding], "chunked"))
-    return http::status::not_implemented;
-  const bool get = message.method() == http::verb::get;
-  if (message.method() == http::verb::post && !coded && !message.has_content_length())
-    return http::status::length_required;
-  return get && (coded || hasBody) ? http::status::bad_request : http::status::ok;
-}
-
 HttpResponse plain(http::status status) {
   HttpResponse response;
   response.result(status);
@@ -196,13 +127,13 @@
                                               [this] { return statistics_.metrics(gauges(), metrics()); },
                                               [this] { return fleet_ ? fleet_->text() : std::string(); }});
     if (listen_.port() != 0)  // a port that the kernel picks is shared with nobody
-      twin_.emplace(io, config.tmp, listen_, [this] { share(); });
-    if (twin_ && !twin_->announced())
+      hotRestart_.emplace(io, config.tmp, listen_, [this] { share(); });
+    if (hotRestart_ && !hotRestart_->announced())
       log_.write(LogLevel::warning, "upgrade",
                  "cannot announce this process in " + config.tmp + " for now, and tries again");
   }
   join(config);
-  if (twin_ && twin_->present()) {
+  if (hotRestart_ && hotRestart_->otherPresent()) {
     share();
     openTimer_.expires_after(kOpenLast);  // the first look at discovery opens it sooner
     openTimer_.async_wait([this](error_code ec) {
@@ -287,19 +218,19 @@
   if (clients_.takesClients() || shuttingDown_)
     return;
   clients_.listen(listen_, management_.has_value());
-  if (twin_ && twin_->present())
-    Twin::steerToLatest(clients_.listener());
+  if (hotRestart_ && hotRestart_->otherPresent())
+    HotRestart::steerToLatest(clients_.listener());
 }
 
 // The descriptors that one process may hold are those of both.
 void Gateway::share() {
-  const std::size_t parts = twin_->present() ? 10 : 5;
+  const std::size_t parts = hotRestart_->otherPresent() ? 10 : 5;
   clients_.allow(std::min(clientsMost_, shareOf(sockets_, 3, parts)));
   hosts_.allow(shareOf(sockets_, 2, parts));
-  budget_->limit(twin_->present() ? bodyBytes_ / 2 : bodyBytes_);
+  budget_->limit(hotRestart_->otherPresent() ? bodyBytes_ / 2 : bodyBytes_);
   log_.write(LogLevel::info, "upgrade",
-             twin_->present() ? "another process serves the address: the limits are shared"
-                              : "no other process serves the address");
+             hotRestart_->otherPresent() ? "another process serves the address: the limits are shared"
+                                         : "no other process serves the address");
 }
 
 // --- Events ---------------------------------------------------------------------------------------------
@@ -764,7 +695,7 @@
   down_ = std::move(done);
   openTimer_.cancel();
   if (fleet_)
-    fleet_->leave(twin_ && twin_->present());
+    fleet_->leave(hotRestart_ && hotRestart_->otherPresent());
   clients_.lastAnswers();
   shutDownTimer_.expires_after(kAcceptOn);
   shutDownTimer_.async_wait([this](error_code ec) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -18,12 +18,12 @@
 #include "gateway/discovery.hpp"
 #include "gateway/fleet_link.hpp"
 #include "gateway/host_pool.hpp"
+#include "gateway/hot_restart.hpp"
 #include "gateway/log.hpp"
 #include "gateway/management.hpp"
 #include "gateway/request_metrics.hpp"
 #include "gateway/server_start_times.hpp"
 #include "gateway/statistics.hpp"
-#include "gateway/twin.hpp"
 #include "hollyrun/balancer.hpp"
 
 namespace hollyrun::gateway {
@@ -142,7 +142,7 @@
   bool carrying_ = false, ready_ = false, shuttingDown_ = false;
   Statistics statistics_;
   RequestCounters counters_;
-  std::optional<Twin> twin_;
+  std::optional<HotRestart> hotRestart_;
   std::optional<FleetLink> fleet_;
   std::optional<Management> management_;
   ClientServer clients_;  // last: it may hand over requests from here on
--- a/src/gateway/twin.cpp
+++ b/src/gateway/hot_restart.cpp
@@ -1,4 +1,4 @@
-#include "gateway/twin.hpp"
+#include "gateway/hot_restart.hpp"
 
 #include <fcntl.h>
 #include <linux/filter.h>
@@ -24,20 +24,20 @@
 
 }  // namespace
 
-Twin::Twin(boost::asio::io_context& io, const std::string& folder,
-           const boost::asio::ip::tcp::endpoint& address, std::function<void()> changed)
+HotRestart::HotRestart(boost::asio::io_context& io, const std::string& folder,
+                       const boost::asio::ip::tcp::endpoint& address, std::function<void()> changed)
     : folder_(folder),
       prefix_("gateway-" + address.address().to_string() + "-" + std::to_string(address.port()) + "."),
       changed_(std::move(changed)),
       timer_(io) {
   announce();
-  present_ = look();
+  otherPresent_ = look();
   watch();
 }
 
 // Danger: the disk may be full or a call interrupted for a moment; a process that stays unannounced shares
 // its limits with nobody.
-void Twin::announce() {
+void HotRestart::announce() {
   std::string path = folder_ + "/" + prefix_ + "XXXXXX";
   const int file = ::mkostemp(path.data(), O_CLOEXEC);
   if (file < 0)
@@ -51,7 +51,7 @@
   own_ = std::move(path);
 }
 
-Twin::~Twin() {
+HotRestart::~HotRestart() {
   if (!announced())
     return;
   ::unlink(own_.c_str());
@@ -60,7 +60,7 @@
 
 // Danger: a killed process leaves its file. Its lock is gone with it, so who gets the lock removes the file;
 // one that a process has made and not yet locked may go with it, which that process's next look mends.
-bool Twin::look() {
+bool HotRestart::look() {
   if (!announced())
     announce();
   if (announced() && ::access(own_.c_str(), F_OK) != 0) {
@@ -82,19 +82,19 @@
     if (::flock(file, LOCK_EX | LOCK_NB) == 0)
       ::unlink(path.c_str());
     else  // a look that was interrupted tells nothing new
-      other = other || errno == EWOULDBLOCK || present_;
+      other = other || errno == EWOULDBLOCK || otherPresent_;
     ::close(file);
   }
   return other;
 }
 
-void Twin::watch() {
+void HotRestart::watch() {
   timer_.expires_after(kLook);
   timer_.async_wait([this](boost::system::error_code ec) {
     if (ec)
       return;
-    const bool before = std::exchange(present_, look());
-    if (present_ != before)
+    const bool before = std::exchange(otherPresent_, look());
+    if (otherPresent_ != before)
       changed_();
     watch();
   });
@@ -102,7 +102,7 @@
 
 // The sockets of a group lie in the order in which they joined it, and one that leaves is followed by the
 // last: of two, the later one is number 1. A number that is not there leaves the choice to the kernel's hash.
-void Twin::steerToLatest(int listener) {
+void HotRestart::steerToLatest(int listener) {
   sock_filter always[] = {{BPF_RET | BPF_K, 0, 0, 1}};
   const sock_fprog program{1, always};
   ::setsockopt(listener, SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &program, sizeof program);
--- a/src/gateway/twin.hpp
+++ b/src/gateway/hot_restart.hpp
@@ -9,17 +9,17 @@
 
 namespace hollyrun::gateway {
 
-class Twin {
+class HotRestart {
  public:
   // Announces this process, by a locked file in `folder`, to the others that serve `address`. `changed` is
   // called when another comes or the last goes. An announcement that fails is made again at each look.
-  Twin(boost::asio::io_context& io, const std::string& folder, const boost::asio::ip::tcp::endpoint& address,
-       std::function<void()> changed);
-  ~Twin();
-  Twin(const Twin&) = delete;
-  Twin& operator=(const Twin&) = delete;
+  HotRestart(boost::asio::io_context& io, const std::string& folder,
+             const boost::asio::ip::tcp::endpoint& address, std::function<void()> changed);
+  ~HotRestart();
+  HotRestart(const HotRestart&) = delete;
+  HotRestart& operator=(const HotRestart&) = delete;
 
-  bool present() const { return present_; }
+  bool otherPresent() const { return otherPresent_; }
   bool announced() const { return file_ >= 0; }
 
   // Leads every new connection of the address to the listener that joined its group last.
@@ -34,7 +34,7 @@
   std::function<void()> changed_;
   boost::asio::steady_timer timer_;
   int file_ = -1;
-  bool present_ = false;
+  bool otherPresent_ = false;
 };
 
 }  // namespace hollyrun::gateway
