Tests: the addresses of the program under faults are held, so nobody else is given them

Cause: a port that is probed and given back may go to another test that asks in the same moment, and the program would find it taken.

--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -92,6 +92,14 @@
     discovery.list.push_back(entry);
   }
 
+  // Held by a bound socket that never listens, so that the kernel gives it to nobody else.
+  tcp::endpoint freeAddress() {
+    held_.emplace_back(io, tcp::v4());
+    held_.back().set_option(tcp::socket::reuse_address(true));
+    held_.back().bind(loopback());
+    return held_.back().local_endpoint();
+  }
+
   void writeConfig() {
     const std::string path = folder + "/config.json";
     std::ofstream(path + ".new") << config;
@@ -123,10 +131,7 @@
 
   // Starts the program at a free address, and waits until it follows discovery and takes clients.
   void start() {
-    {
-      tcp::acceptor probe(io, loopback());
-      address = probe.local_endpoint();
-    }
+    address = freeAddress();
     config["listen"] = textOf(address);
     config["discovery"] = textOf(discovery.peer.endpoint);
     spawn();
@@ -189,6 +194,9 @@
   SharedFaults faults{::testing::TempDir() + "fault_page_" + std::to_string(getpid())};
   pid_t pid = -1;
   int serial = 0;
+
+ private:
+  std::vector<tcp::socket> held_;
 };
 
 PeerConnection::Script answering(const std::string& body) {
@@ -274,11 +282,7 @@
   constexpr std::size_t kRequests = 60;
   for (int i = 0; i < 4; ++i)
     addHost([](PeerConnection& c) { c.reply(answerText(200, "Connection: close\r\n", "x"), true); });
-  tcp::endpoint management;
-  {
-    tcp::acceptor probe(io, loopback());
-    management = probe.local_endpoint();
-  }
+  const tcp::endpoint management = freeAddress();
   config["management"] = textOf(management);
   start();
   faults->of(GetParam().first).error = GetParam().second;
@@ -366,11 +370,7 @@
 
 // At level debug each step of a request is told by its id; the counters say the same in sum.
 TEST_F(ProcessFaults, EachStepOfARequestIsTracedAndCounted) {
-  tcp::endpoint management;
-  {
-    tcp::acceptor probe(io, loopback());
-    management = probe.local_endpoint();
-  }
+  const tcp::endpoint management = freeAddress();
   config["management"] = textOf(management);
   config["log"] = {{"level", "debug"}};
   std::size_t attempts = 0;
@@ -406,10 +406,7 @@
 // The configuration is a pipe, so that the program is still reading it when the signal comes.
 TEST_F(ProcessFaults, AHangupWhileTheConfigurationIsReadDoesNotEndTheStart) {
   addHost(answering("x"));
-  {
-    tcp::acceptor probe(io, loopback());
-    address = probe.local_endpoint();
-  }
+  address = freeAddress();
   config["listen"] = textOf(address);
   config["discovery"] = textOf(discovery.peer.endpoint);
   const std::string path = folder + "/config.json";
