--- a/src/lab/faults/fault_library.cpp
+++ b/src/lab/faults/fault_library.cpp
@@ -112,6 +112,21 @@
 
 constexpr std::size_t kWhole = SIZE_MAX;
 
+// sendmsg and recvmsg: the message whole, or a part of its first bytes.
+template <class Real, class Message>
+ssize_t moveMessage(FaultyCall call, Real* real, int descriptor, Message* message, int flags) {
+  std::size_t size = kWhole;
+  if (failsOrShortens(call, size))
+    return -1;
+  if (size == kWhole)
+    return real(descriptor, message, flags);
+  msghdr shortened = *message;
+  iovec part = firstPart(message, size);
+  shortened.msg_iov = &part;
+  shortened.msg_iovlen = 1;
+  return real(descriptor, &shortened, flags);
+}
+
 }  // namespace
 
 extern "C" {
@@ -155,16 +170,7 @@
 
 ssize_t sendmsg(int descriptor, const msghdr* message, int flags) {
   static auto* const real = next<ssize_t(int, const msghdr*, int)>("sendmsg");
-  std::size_t size = kWhole;
-  if (failsOrShortens(FaultyCall::send, size))
-    return -1;
-  if (size == kWhole)
-    return real(descriptor, message, flags);
-  msghdr shortened = *message;
-  iovec part = firstPart(message, size);
-  shortened.msg_iov = &part;
-  shortened.msg_iovlen = 1;
-  return real(descriptor, &shortened, flags);
+  return moveMessage(FaultyCall::send, real, descriptor, message, flags);
 }
 
 ssize_t recv(int descriptor, void* data, std::size_t size, int flags) {
@@ -174,16 +180,7 @@
 
 ssize_t recvmsg(int descriptor, msghdr* message, int flags) {
   static auto* const real = next<ssize_t(int, msghdr*, int)>("recvmsg");
-  std::size_t size = kWhole;
-  if (failsOrShortens(FaultyCall::receive, size))
-    return -1;
-  if (size == kWhole)
-    return real(descriptor, message, flags);
-  msghdr shortened = *message;
-  iovec part = firstPart(message, size);
-  shortened.msg_iov = &part;
-  shortened.msg_iovlen = 1;
-  return real(descriptor, &shortened, flags);
+  return moveMessage(FaultyCall::receive, real, descriptor, message, flags);
 }
 
 ssize_t read(int descriptor, void* data, std::size_t size) {
