Faults: one file of a fault page for the tests and the soak

Found on reading the whole change again: SharedFaults of the tests and FaultFile of the soak were the same; src/lab/faults/fault_file.hpp serves both. A parameter of SoakDiscovery that was always false is gone.

--- a/src/lab/soak/peers.cpp
+++ b/src/lab/soak/peers.cpp
@@ -163,7 +163,7 @@
   entry.bootMs = bootMs;
   entry.version = ++version_;
   for (std::size_t i = 0; i < agents_.size(); ++i)
-    answerWaiting(i, false);
+    answerWaiting(i);
 }
 
 tcp::endpoint SoakDiscovery::agent(std::size_t gateway) const {
@@ -173,7 +173,7 @@
 void SoakDiscovery::silence(std::size_t gateway, bool on) {
   agents_.at(gateway).silent = on;
   if (!on)
-    answerWaiting(gateway, false);
+    answerWaiting(gateway);
 }
 
 void SoakDiscovery::closeWatches(std::size_t gateway) {
@@ -213,12 +213,12 @@
   waiting.connection->reply(200, "", text(gateway, waiting.since));
 }
 
-void SoakDiscovery::answerWaiting(std::size_t gateway, bool all) {
+void SoakDiscovery::answerWaiting(std::size_t gateway) {
   Agent& agent = agents_[gateway];
   if (agent.silent)
     return;
   for (const Waiting& waiting : std::exchange(agent.waiting, {}))
-    if (all || waiting.since < version_ || waiting.timer->expiry() <= std::chrono::steady_clock::now())
+    if (waiting.since < version_ || waiting.timer->expiry() <= std::chrono::steady_clock::now())
       answer(gateway, waiting);
     else
       agent.waiting.push_back(waiting);
--- a/src/lab/soak/peers.hpp
+++ b/src/lab/soak/peers.hpp
@@ -111,7 +111,7 @@
   void handle(std::size_t gateway, const std::shared_ptr<SoakListener::Connection>& connection,
               const SoakRequest& request);
   void answer(std::size_t gateway, const Waiting& waiting);
-  void answerWaiting(std::size_t gateway, bool all);
+  void answerWaiting(std::size_t gateway);
   std::string text(std::size_t gateway, std::int64_t since);
 
   boost::asio::io_context& io_;
--- a/src/lab/soak/soak.cpp
+++ b/src/lab/soak/soak.cpp
@@ -1,8 +1,6 @@
 #include "lab/soak/soak.hpp"
 
-#include <fcntl.h>
 #include <signal.h>
-#include <sys/mman.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -12,13 +10,12 @@
 #include <filesystem>
 #include <fstream>
 #include <memory>
-#include <new>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <stdexcept>
 #include <utility>
 
-#include "lab/faults/fault_page.hpp"
+#include "lab/faults/fault_file.hpp"
 #include "lab/rig/lag_meter.hpp"
 #include "lab/rig/platform.hpp"
 #include "lab/rig/process.hpp"
@@ -59,31 +56,6 @@
           {"points", 1.0}};
 }
 
-// A page of faults in a file that a process maps.
-class FaultFile {
- public:
-  FaultFile(const std::string& path, std::uint64_t seed) : path_(path) {
-    const int file = ::open(path.c_str(), O_CREAT | O_TRUNC | O_RDWR | O_CLOEXEC, 0600);
-    if (file < 0 || ::ftruncate(file, sizeof(FaultPage)) != 0)
-      throw std::runtime_error("no file for faults at " + path);
-    void* at = ::mmap(nullptr, sizeof(FaultPage), PROT_READ | PROT_WRITE, MAP_SHARED, file, 0);
-    ::close(file);
-    if (at == MAP_FAILED)
-      throw std::runtime_error("no page for faults at " + path);
-    page_ = new (at) FaultPage();
-    page_->seed = seed;
-  }
-  ~FaultFile() { ::munmap(page_, sizeof(FaultPage)); }
-  FaultFile(const FaultFile&) = delete;
-  FaultFile& operator=(const FaultFile&) = delete;
-  FaultPage& page() { return *page_; }
-  const std::string& path() const { return path_; }
-
- private:
-  std::string path_;
-  FaultPage* page_ = nullptr;
-};
-
 // The kernel's lines of the sockets at this port: the evidence for an address that could not be had.
 std::string socketsAt(unsigned short port) {
   std::ifstream table("/proc/net/tcp");
@@ -393,7 +365,7 @@
 }
 
 void Soak::fault(Gateway& gateway, FaultyCall call, std::uint32_t oneIn, int error, std::uint32_t atMost) {
-  CallFault& one = gateway.faults->page().of(call);
+  CallFault& one = (*gateway.faults)->of(call);
   one.error = error;
   one.atMost = atMost;
   one.oneIn = oneIn;
@@ -441,7 +413,7 @@
       return signal(number, SIGHUP);
     case TroubleKind::clockStep: {
       static constexpr SoakTime kSteps[] = {-3600s, -5s, 5s, 3600s};
-      gateway.faults->page().wallClockOffsetNs = kSteps[trouble.draw % std::size(kSteps)].count();
+      (*gateway.faults)->wallClockOffsetNs = kSteps[trouble.draw % std::size(kSteps)].count();
       return;
     }
     case TroubleKind::shortCalls:
@@ -505,12 +477,12 @@
     case TroubleKind::gatewayBadReload:
       return writeConfig(number, true);
     case TroubleKind::clockStep:
-      gateway.faults->page().wallClockOffsetNs = 0;
+      (*gateway.faults)->wallClockOffsetNs = 0;
       return;
     case TroubleKind::discoverySilent:
       return discovery_.silence(number, false);
     default:
-      for (CallFault& one : gateway.faults->page().calls)
+      for (CallFault& one : (*gateway.faults)->calls)
         one.oneIn = 0;
   }
 }
--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -4,7 +4,6 @@
 #include <signal.h>
 #include <spawn.h>
 #include <sys/file.h>
-#include <sys/mman.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -15,46 +14,19 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
-#include <new>
 #include <set>
 
-#include "lab/faults/fault_page.hpp"
+#include "lab/faults/fault_file.hpp"
 #include "net_peers.hpp"
 
 namespace hollyrun::gateway::testing {
 namespace {
 
-using lab::FaultPage;
 using lab::FaultyCall;
 using namespace std::chrono_literals;
 
 std::string program, library;  // set once, by main
 
-// A page of faults in a file, shared with the process that is started with it.
-class SharedFaults {
- public:
-  explicit SharedFaults(const std::string& path) : path_(path) {
-    const int file = ::open(path.c_str(), O_CREAT | O_TRUNC | O_RDWR | O_CLOEXEC, 0600);
-    EXPECT_EQ(::ftruncate(file, sizeof(FaultPage)), 0);
-    void* at = ::mmap(nullptr, sizeof(FaultPage), PROT_READ | PROT_WRITE, MAP_SHARED, file, 0);
-    ::close(file);
-    page_ = new (at) FaultPage();
-  }
-  ~SharedFaults() {
-    ::munmap(page_, sizeof(FaultPage));
-    std::remove(path_.c_str());
-  }
-  SharedFaults(const SharedFaults&) = delete;
-  SharedFaults& operator=(const SharedFaults&) = delete;
-
-  FaultPage* operator->() { return page_; }
-  const std::string& path() const { return path_; }
-
- private:
-  std::string path_;
-  FaultPage* page_;
-};
-
 class ProcessFaults : public ::testing::Test {
  protected:
   void SetUp() override {
@@ -191,7 +163,7 @@
   std::map<std::string, std::size_t> served;
   json config = configJson();
   tcp::endpoint address;
-  SharedFaults faults{::testing::TempDir() + "fault_page_" + std::to_string(getpid())};
+  lab::FaultFile faults{::testing::TempDir() + "fault_page_" + std::to_string(getpid())};
   pid_t pid = -1;
   int serial = 0;
 
