--- a/src/balancer/choice.cpp
+++ b/src/balancer/choice.cpp
@@ -658,9 +658,8 @@
     freeSlots.push_back(r.slot);
   }
 
-  void finish(
-      Open& r,
-      GiveUpReason why) {  // a refusal claims that a retry is harmless, so it needs proof; else an error
+  // A refusal claims that a retry is harmless, so it needs proof; else an error.
+  void finish(Open& r, GiveUpReason why) {
     const ClassSettings& c = r.cls->set;
     const bool harmless = std::ranges::none_of(r.made(), &Try::mayHaveRun) || c.effect == Effect::retryable ||
                           (c.effect == Effect::dedup && c.group == Group::all && r.out == 0);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -459,8 +459,9 @@
   }
   if (step == HostPool::Step::write) {
     exchange.history.wrote(attempt.attempt, servers_.at(host), now());
-    traceAttempt("attempt_begun", exchange, attempt, host,
-                 "told_ms=" + std::to_string(admission.told.count()));
+    if (log_.tracing())
+      traceAttempt("attempt_begun", exchange, attempt, host,
+                   "told_ms=" + std::to_string(admission.told.count()));
   }
   return {std::nullopt, admission.told};
 }
