--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,6 +1,7 @@
 // An answer that never ends: does the client get its final answer, or at least an end that it can see?
 #include <signal.h>
 
+#include <algorithm>
 #include <cstdio>
 
 #include "../standins/platform.hpp"
@@ -71,7 +72,7 @@
                     number, id.c_str(), static_cast<long long>(kLate.count()));
         if (++lost > kLookers)
           break;
-        while (Clock::now() < due + kLookOn && !stream.hasEnded())
+        while (Clock::now() < std::min(due + kLookOn, end) && !stream.hasEnded())
           std::this_thread::sleep_for(Millis(20));
         record.line("client %d  %s: the connection %s %.1f s after the request's time", number, id.c_str(),
                     stream.hasEnded() ? "ended" : "was still open", secondsNow() - secondsOf(due - kLate));
@@ -122,6 +123,7 @@
 
 int main(int count, char** values) {
   try {
+    limitRunTime();
     return run(readArguments(count, values));
   } catch (const std::exception& error) {
     std::fprintf(stderr, "%s\n", error.what());
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -3,6 +3,7 @@
 #include <signal.h>
 
 #include <cstdio>
+#include <set>
 
 #include "../standins/platform.hpp"
 
@@ -22,6 +23,44 @@
 std::atomic<int> connected = 0, taken = 0, served = 0, lost = 0;
 std::atomic<bool> killed = false;
 
+// The requests that record servers have read whole, so that the gateway must have read them.
+class ForwardedRequests {
+ public:
+  void add(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    ids_.insert(id);
+  }
+  bool contains(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    return ids_.count(id) > 0;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::set<std::string> ids_;
+};
+
+ForwardedRequests forwarded;
+
+// Judges a request whose last byte was sent at `sentAt` and that got no whole answer.
+void judgeUnanswered(const std::string& id, ReadEnd result, Clock::time_point sentAt,
+                     Clock::time_point sigterm, Record& record) {
+  const char* reason = nullptr;
+  if (result == ReadEnd::timedOut)
+    reason = "no answer half a second after its time";
+  else if (killed && sentAt > sigterm + kMayStillTake)
+    reason = "SIGKILL found it unanswered, and it came more than 0.7 s after SIGTERM";
+  else if (!killed && forwarded.contains(id))
+    reason = "the gateway had read it and ended its connection with no answer";
+  // Not lost: SIGKILL found a request that came within 0.7 s after SIGTERM, or the gateway ended a connection
+  // whose request it may not have read, which its client then sends once more.
+  if (!reason)
+    return;
+  ++lost;
+  record.line("%s LOST: %s; it came %.3f s after SIGTERM", id.c_str(), reason,
+              secondsOf(sentAt) - secondsOf(sigterm));
+}
+
 // A client that connects as SIGTERM comes and needs under 2 s to write its request, in four pieces.
 void runSlowClient(std::uint16_t gateway, int number, Record& record, Clock::time_point sigterm) {
   std::this_thread::sleep_until(sigterm + Millis(10 * number));
@@ -52,19 +91,11 @@
     served += answer.status() == 200;
     return;
   }
-  // PROTOCOL judges requests that came more than 0.7 s after SIGTERM and that SIGKILL finds unanswered. A
-  // connection that the gateway itself closed before may have crossed the request, which its client then
-  // sends once more.
-  const bool isFoundBySigkill = killed || result == ReadEnd::timedOut;
-  if (isFoundBySigkill && sentAt > sigterm + kMayStillTake) {
-    ++lost;
-    record.line("slow client %d  %s LOST: it came %.3f s after SIGTERM and has no answer", number, id.c_str(),
-                secondsOf(sentAt) - secondsOf(sigterm));
-  }
+  judgeUnanswered(id, result, sentAt, sigterm, record);
 }
 
 // A client as PROTOCOL describes it: one request at a time on a connection that it keeps.
-void runOtherClient(std::uint16_t gateway, Record& record, Clock::time_point end) {
+void runOtherClient(std::uint16_t gateway, Record& record, Clock::time_point sigterm, Clock::time_point end) {
   const ClassFacts classes[] = {kLookup, kCertificate, kAmendment};
   int turn = 0;
   while (Clock::now() < end && !killed) {
@@ -77,9 +108,12 @@
       const std::string id = newId();
       if (!stream.write(requestText(facts, id, newId()), Clock::now() + Millis(100)))
         break;
+      const auto sentAt = Clock::now();
       Message answer;
-      const ReadEnd result = stream.read(answer, Clock::now() + Millis(tryMs(facts)) + kSlack);
+      const ReadEnd result = stream.read(answer, sentAt + Millis(tryMs(facts)) + kSlack);
       record.line("client  %s %s: status %d, %s", id.c_str(), facts.name, answer.status(), nameOf(result));
+      if (result != ReadEnd::complete)
+        judgeUnanswered(id, result, sentAt, sigterm, record);
       if (result != ReadEnd::complete || answer.header("connection") == "close")
         break;
       std::this_thread::sleep_for(Millis(50));
@@ -90,6 +124,8 @@
 int run(const Arguments& arguments) {
   Record record(arguments.caseFolder + "/record.txt");
   Deployment deployment(arguments, record, kServers, 1);
+  for (const auto& server : deployment.servers)
+    server->onRequest = [](const Exchange& exchange) { forwarded.add(exchange.id); };
   if (!deployment.startGateways())
     return kCouldNotRun;
   GatewayProcess& gateway = *deployment.gateways[0];
@@ -97,7 +133,7 @@
   const auto end = sigterm + kKillAfter + Millis(2500);
   Threads clients;
   for (int i = 0; i < kOtherClients; ++i)
-    clients.start([&] { runOtherClient(gateway.port(), record, end); });
+    clients.start([&] { runOtherClient(gateway.port(), record, sigterm, end); });
   for (int i = 0; i < kSlowClients; ++i)
     clients.start([&, i] { runSlowClient(gateway.port(), i, record, sigterm); });
   std::this_thread::sleep_until(sigterm);
@@ -115,8 +151,8 @@
   clients.join();
   if (connected == 0)
     return kCouldNotRun;
-  record.line("%d requests of slow clients taken, %d served, %d lost", taken.load(), served.load(),
-              lost.load());
+  record.line("%d requests of slow clients taken, %d of them served; %d requests lost", taken.load(),
+              served.load(), lost.load());
   return lost > 0 ? kBroken : kHeld;
 }
 
@@ -124,6 +160,7 @@
 
 int main(int count, char** values) {
   try {
+    limitRunTime();
     return run(readArguments(count, values));
   } catch (const std::exception& error) {
     std::fprintf(stderr, "%s\n", error.what());
--- a/review/standins/platform.cpp
+++ b/review/standins/platform.cpp
@@ -171,6 +171,8 @@
         line.substr(slash + 1, std::min(line.find('/', slash + 1), line.find(' ', slash)) - slash - 1);
     ++begun_;
     record_.line("server %s  runs      %s %s", uid_.c_str(), exchange.id.c_str(), exchange.className.c_str());
+    if (onRequest)
+      onRequest(exchange);
     work(exchange);
     waitWhileHanging();
     if (!stops)
@@ -323,6 +325,13 @@
   return process_ <= 0;
 }
 
+void limitRunTime() {
+  std::thread([] {
+    std::this_thread::sleep_for(std::chrono::seconds(115));
+    std::_Exit(kCouldNotRun);
+  }).detach();
+}
+
 // --- The deployment --------------------------------------------------------------------------------------
 
 Deployment::Deployment(const Arguments& arguments, Record& record, int servers, int gateways)
--- a/review/standins/platform.hpp
+++ b/review/standins/platform.hpp
@@ -64,6 +64,7 @@
   ~RecordServer();
 
   Answer answer;
+  std::function<void(const Exchange&)> onRequest;  // called when the last byte of a request has come
   int slots = 2;
   double workMs = 40;               // mean work of a request, uniform between half and one and a half
   std::atomic<bool> hangs = false;  // the machine takes bytes and connections, the server does nothing
@@ -183,6 +184,8 @@
   bool isTrouble = true;
 };
 Arguments readArguments(int count, char** values);
+/// Ends the program with kCouldNotRun after 115 s, whatever happens; its gateways end with it.
+void limitRunTime();
 
 /// Record servers in three zones, discovery and gateways. The destructor ends all of them.
 class Deployment {
