Relay: a response that its host never ends has a limit of its own

What callers saw: a host began a 200 of unknown length and fell silent. The gateway passed on what had come, after 100 ms, and nothing more: no end and no close. The request had no final answer, and both connections stayed for good; with 256 descriptors every request was refused after 89 such responses.

Cause: the time of the request limited nothing once its relay had begun. beginRelay stops the attempt's timer, and where the time for buffering ends it runs while a read is pending: continueRelay then returned before it armed the relay's timer, and before it saw that the client had gone. Where that timer was armed, each byte renewed it for 10 s, so a response in drips had no limit, and one that announced a large length and fell silent ended after 10 s.

Change: ResponseProgress limits every relayed response. Until the request's deadline it may be as slow as it likes; from then on its host has to send 12 KiB in each half a second, and one of unknown length ends at 32 MiB. Time in which the client is what is slow does not count. The limit and the look for a client that has gone hold for a pending read as well. The end is a close before the last chunk or the announced length, which a client can tell.

This works because no way of relaying is left without a timer: it is armed with the relay and after each pause, for whatever is being read. A limit on the whole response would not do: large ones are timed by their first bytes.

--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -148,16 +148,15 @@
 }
 
 void UpstreamConnection::handleTimeout(Outcome outcome) {
+  if (state_ == State::relaying)
+    return checkProgress();
   if (state_ == State::reading && outcome == Outcome::timeout && parser_ && isOpenEnded(*parser_)) {
     if (!parser_->get().body().empty())
       return beginRelay();
     if (Clock::now() < deadline_)
       return armTimer(deadline_, outcome);
   }
-  if (state_ != State::relaying)
-    return complete(outcome);
-  close();
-  pool_.relaying_.erase(shared_from_this());
+  complete(outcome);
 }
 
 void UpstreamConnection::restartTimeLimit(Duration limit) {
--- a/src/gateway/upstream_connection.hpp
+++ b/src/gateway/upstream_connection.hpp
@@ -13,6 +13,7 @@
 
 #include "gateway/body_stream.hpp"
 #include "gateway/http_message.hpp"
+#include "gateway/response_progress.hpp"
 #include "gateway/upstream_observer.hpp"
 #include "gateway/upstream_response.hpp"
 #include "hollyrun/balancer.hpp"
@@ -100,6 +101,8 @@
   void beginRelay();
   void relayParsed();
   void continueRelay();
+  void abortRelay();
+  void checkProgress();
 
   UpstreamPool& pool_;
   balancer::HostId host_;
@@ -124,6 +127,7 @@
   std::optional<ResponseParser> parser_;
   MemoryReservation reservation_;
   std::shared_ptr<BodyStream> download_;
+  ResponseProgress progress_;       // Of the download.
   bool readPending_ = false;        // A socket read is pending.
   bool appending_ = false;          // Data is being appended to the download.
   bool openEndedTimerSet_ = false;  // The shorter limit for buffering a response of unknown length is in use.
--- a/src/gateway/upstream_response_relay.cpp
+++ b/src/gateway/upstream_response_relay.cpp
@@ -119,8 +119,7 @@
     return complete(lastBytePassed ? Outcome::reset : Outcome::connectFailed);
   if (state_ == State::reading)
     return complete(classifyReadError(error));
-  close();
-  pool_.relaying_.erase(shared_from_this());
+  abortRelay();
 }
 
 // `allowed` is `close` if the response is incomplete, in which case its connection must not be reused.
@@ -149,6 +148,7 @@
 void UpstreamConnection::beginRelay() {
   disarmTimer();
   state_ = State::relaying;
+  progress_ = ResponseProgress(deadline_);
   download_ = std::make_shared<BodyStream>(pool_.budget_);
   download_->onWritable = [weak = weak_from_this()] {
     if (const auto self = weak.lock())
@@ -170,7 +170,9 @@
   // The consumer may consume the data within append(), which makes the stream writable at once. appending_
   // prevents onWritable from starting a nested read.
   appending_ = true;
-  download_->append(std::exchange(parser_->get().body(), {}));
+  const std::string received = std::exchange(parser_->get().body(), {});
+  progress_.recordReceived(received.size());
+  download_->append(received);
   appending_ = false;
   if (!download_)
     return;  // The connection was closed in the meantime.
@@ -186,15 +188,36 @@
     close();
 }
 
+// A read may already be pending: beginRelay() is also called when the time for buffering is over. The limits
+// apply to that read as well.
 void UpstreamConnection::continueRelay() {
-  if (state_ != State::relaying || readPending_ || appending_ || !download_)
+  if (state_ != State::relaying || appending_ || !download_)
     return;
-  if (download_->isAbandoned())
-    return handleTimeout(Outcome::cancelled);
-  if (download_->isFull())
+  const bool isTooLarge = !parser_->content_length() && progress_.totalBytes() > kMaxOpenEndedBody;
+  if (download_->isAbandoned() || isTooLarge)
+    return abortRelay();
+  if (!readPending_ && download_->isFull()) {
+    progress_.pause();
     return disarmTimer();
-  armTimer(Clock::now() + kStallTimeout, Outcome::reset);
-  receive();
+  }
+  if (progress_.isPaused()) {
+    progress_.resume(Clock::now());
+    armTimer(progress_.intervalEnd(), Outcome::timeout);
+  }
+  if (!readPending_)
+    receive();
+}
+
+// The client sees that the response is truncated, because its connection ends before the response does.
+void UpstreamConnection::abortRelay() {
+  close();
+  pool_.relaying_.erase(shared_from_this());
+}
+
+void UpstreamConnection::checkProgress() {
+  if (!progress_.completeInterval(Clock::now()))
+    return abortRelay();
+  armTimer(progress_.intervalEnd(), Outcome::timeout);
 }
 
 }  // namespace hollyrun::gateway
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -18,8 +18,9 @@
   Gateway::Options options{.clients = {}, .discovery = {}, .abortOnViolation = true};
   Log log{"n0", {.level = LogLevel::off}};
   std::unique_ptr<Gateway> gateway;
-  int serial = 0;                    // The number in the last request ID.
-  std::vector<std::string> reached;  // The uid of the host of each attempt, in order of arrival.
+  int serial = 0;                                 // The number in the last request ID.
+  std::chrono::steady_clock::duration stalled{};  // See untilMeasured().
+  std::vector<std::string> reached;               // The uid of the host of each attempt, in order of arrival.
 
   // Handles an attempt. The second argument is its number, counted from 0 over all hosts.
   using Script = std::function<void(PeerConnection&, std::size_t)>;
@@ -53,6 +54,20 @@
     }
     return ::testing::AssertionSuccess();
   }
+  // Like until(), but also adds to `stalled` how long the event loop stood still, which happens on a busy
+  // machine. The clients, the hosts and the gateway share the loop, so all of them were late by as much.
+  template <class Predicate>
+  ::testing::AssertionResult untilMeasured(Predicate predicate) {
+    constexpr auto kLongestTurn = std::chrono::milliseconds(50);
+    auto turnStart = std::chrono::steady_clock::now();
+    return until([&] {
+      const auto now = std::chrono::steady_clock::now();
+      if (now - turnStart > kLongestTurn)
+        stalled += now - turnStart - kLongestTurn;
+      turnStart = now;
+      return predicate();
+    });
+  }
   std::shared_ptr<Client> client() { return Client::connect(io, gateway->listening()); }
   // A request of the class `kind` as text.
   std::string text(const std::string& kind, const std::string& headers = "", const std::string& body = "") {
