Shutdown: a request that comes late is answered before the process may be killed

What callers saw: a planned restart (SIGTERM, and SIGKILL after the longest client timeout and 0.7 s) while some clients wrote slowly and half of the hosts hung. Requests whose last byte came up to 2.0 s after SIGTERM were sent on with their full time, and SIGKILL at 2.2 s found some of them unanswered.

Cause: a shutdown closed the listener and the idle connections after 0.7 s and waited for the rest. Nothing told the time by which the process may be killed to a request that arrived later, nor to one that had not arrived completely.

Change: ShutdownSchedule sets the time of the last response from the client timeouts of the settings, 0.2 s before the process may be killed: a process may be held up for 0.15 s before it writes. A request that arrives during a shutdown has the time until then at most, as has an upload whose last byte comes then; the balancer decides with the time left. At the last response what is not complete is rejected unsent: a 503, or the end of the connection where the head is not there yet. Unread bytes, which may complete a request, are read first.

This works because both ways to be unanswered at the kill are closed: a complete request has a deadline before it, and after that deadline no request can become complete.

--- a/src/gateway/downstream_connection.cpp
+++ b/src/gateway/downstream_connection.cpp
@@ -184,6 +184,8 @@
   const bool owesResponse = state_ == State::awaitingResponse || state_ == State::uploading;
   if (owesResponse && !readPending_ && hasClientHungUp())
     return handleClientDisconnected();
+  if (server_.rejectsIncompleteRequests_ && (isIncomplete() || state_ == State::uploading))
+    return rejectIncomplete();
   if (!isOverdue(now))
     return;
   const bool hasStartedRequest = state_ == State::readingHead;
@@ -196,6 +198,14 @@
     reject(http::status::request_timeout);
 }
 
+// An incomplete request cannot have executed, so its client may send it again.
+void DownstreamConnection::rejectIncomplete() {
+  if (state_ == State::readingHead)
+    linger(CloseReason::draining);
+  else
+    reject(http::status::service_unavailable);
+}
+
 bool DownstreamConnection::isOverdue(Clock::time_point now) const {
   const DownstreamServer::Limits& limits = server_.limits_;
   const auto stateAge = now - stateSince_;
--- a/src/gateway/downstream_connection.hpp
+++ b/src/gateway/downstream_connection.hpp
@@ -86,6 +86,7 @@
   bool isEstablished();
   bool isOverdue(Clock::time_point now) const;
   bool isBodyTooSlow(Clock::time_point now) const;
+  void rejectIncomplete();
   void notifyResponseEnd(bool complete);
   void dropBodies();
   void discardInput();
--- a/src/gateway/downstream_server.cpp
+++ b/src/gateway/downstream_server.cpp
@@ -68,11 +68,15 @@
     asio::post(io_, [this] { observer_.onDrained(); });
 }
 
-void DownstreamServer::sweep() {
+void DownstreamServer::checkTimeouts() {
   const auto now = Clock::now();
   const std::vector<std::shared_ptr<DownstreamConnection>> all(connections_.begin(), connections_.end());
   for (const auto& connection : all)
     connection->checkTimeouts(now);
+}
+
+void DownstreamServer::sweep() {
+  checkTimeouts();
   sweepTimer_.expires_after(kSweepInterval);
   sweepTimer_.async_wait([this](error_code error) {
     if (!error)
@@ -142,4 +146,9 @@
     observer_.onDrained();
 }
 
+void DownstreamServer::rejectIncompleteRequests() {
+  rejectsIncompleteRequests_ = true;
+  checkTimeouts();
+}
+
 }  // namespace hollyrun::gateway
--- a/src/gateway/downstream_server.hpp
+++ b/src/gateway/downstream_server.hpp
@@ -70,6 +70,9 @@
   /// Accepts the pending connections, then closes the listener and the idle connections. The observer's
   /// onDrained() is called once no connection is left.
   void stopAccepting();
+  /// Ends the acceptance of requests: those that have not arrived completely are rejected. Bytes that are
+  /// still unread may complete a request, so they are read first.
+  void rejectIncompleteRequests();
   std::size_t connections() const { return connections_.size(); }
   /// The number of connections closed so far, by reason.
   const CloseCounts& closeCounts() const { return closed_; }
@@ -88,6 +91,7 @@
   void countClosed(CloseReason reason);
   void removeConnection(const std::shared_ptr<DownstreamConnection>& connection);
   bool isDraining() const { return !listener_.isOpen() && closesAfterResponse_; }
+  void checkTimeouts();
   void sweep();
 
   boost::asio::io_context& io_;
@@ -102,6 +106,7 @@
   DownstreamRequestId lastRequestId_ = 0;
   CloseCounts closed_{};
   bool closesAfterResponse_ = false;
+  bool rejectsIncompleteRequests_ = false;
   bool destroying_ = false;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <limits>
 #include <utility>
 
@@ -217,10 +218,12 @@
 void Gateway::shutDown(std::function<void()> onDrained) {
   if (process_.isShuttingDown())
     return;
+  const ShutdownSchedule schedule = planShutdown(std::chrono::steady_clock::now(), state_.settings.classes);
   process_.beginShutdown(std::move(onDrained));
+  intake_.limitResponses(schedule.lastResponse);
   if (fleet_)
     fleet_->leave(process_.isOtherProcessPresent());
-  process_.drainClients();
+  process_.drainClients(schedule);
 }
 
 }  // namespace hollyrun::gateway
--- a/src/gateway/process_lifecycle.cpp
+++ b/src/gateway/process_lifecycle.cpp
@@ -38,7 +38,8 @@
       upstream_(upstream),
       log_(log),
       listenTimer_(io),
-      stopAcceptingTimer_(io) {}
+      stopAcceptingTimer_(io),
+      lastResponseTimer_(io) {}
 
 void ProcessLifecycle::enableHotRestart(const std::string& directory) {
   if (address_.port() == 0)
@@ -98,13 +99,18 @@
   listenTimer_.cancel();
 }
 
-void ProcessLifecycle::drainClients() {
+void ProcessLifecycle::drainClients(const ShutdownSchedule& schedule) {
   downstream_.closeAfterResponses();
-  stopAcceptingTimer_.expires_after(kStopAcceptingDelay);
+  stopAcceptingTimer_.expires_at(schedule.stopAccepting);
   stopAcceptingTimer_.async_wait([this](error_code ec) {
     if (!ec)
       downstream_.stopAccepting();
   });
+  lastResponseTimer_.expires_at(schedule.lastResponse);
+  lastResponseTimer_.async_wait([this](error_code ec) {
+    if (!ec)
+      downstream_.rejectIncompleteRequests();
+  });
 }
 
 }  // namespace hollyrun::gateway
--- a/src/gateway/process_lifecycle.hpp
+++ b/src/gateway/process_lifecycle.hpp
@@ -16,14 +16,11 @@
 #include "gateway/downstream_server.hpp"
 #include "gateway/hot_restart.hpp"
 #include "gateway/log.hpp"
+#include "gateway/shutdown_schedule.hpp"
 #include "gateway/upstream_pool.hpp"
 
 namespace hollyrun::gateway {
 
-/// Connections are still accepted for this long after a shutdown was requested, because clients notice the
-/// shutdown with a delay.
-inline constexpr std::chrono::milliseconds kStopAcceptingDelay{700};
-
 /// Number of processes that serve the address and share the resources of one.
 enum class ServingProcesses { one, two };
 
@@ -62,8 +59,8 @@
   /// Step 1 of a shutdown: prevents a pending start of listening. `onDrained` is called when the drain is
   /// complete.
   void beginShutdown(std::function<void()> onDrained);
-  /// Step 2: closes each connection after its response, and the listener after kStopAcceptingDelay.
-  void drainClients();
+  /// Step 2: closes each connection after its response, and the rest at the times of the schedule.
+  void drainClients(const ShutdownSchedule& schedule);
   void onDrained() { onDrained_(); }
 
   bool isShuttingDown() const { return isShuttingDown_; }
@@ -83,7 +80,7 @@
   DownstreamServer& downstream_;
   UpstreamPool& upstream_;
   Log& log_;
-  boost::asio::steady_timer listenTimer_, stopAcceptingTimer_;
+  boost::asio::steady_timer listenTimer_, stopAcceptingTimer_, lastResponseTimer_;
   std::function<void()> onDrained_;
   std::optional<HotRestart> hotRestart_;
   bool isShuttingDown_ = false;
--- a/src/gateway/request_intake.cpp
+++ b/src/gateway/request_intake.cpp
@@ -1,5 +1,6 @@
 #include "gateway/request_intake.hpp"
 
+#include <algorithm>
 #include <boost/beast/http/status.hpp>
 #include <optional>
 #include <utility>
@@ -37,6 +38,16 @@
     state_.statistics.registerClass(requestClass.name);
 }
 
+void RequestIntake::limitResponses(Clock::time_point lastResponse) {
+  lastResponse_ = lastResponse;
+}
+
+// Without this limit, a request that arrives late in a shutdown would be unanswered when the process is
+// killed.
+Duration RequestIntake::limitToShutdown(Duration timeLimit, Clock::time_point receivedAt) const {
+  return lastResponse_ ? std::min<Duration>(timeLimit, *lastResponse_ - receivedAt) : timeLimit;
+}
+
 void RequestIntake::receiveRequest(DownstreamRequest request, Readiness readiness) {
   const bool hasBody = request.upload || !request.message.body().empty();
   const ValidationResult result =
@@ -91,7 +102,7 @@
   context.terms.idempotency = requestClass.idempotency;
   context.terms.deduplicationScope = requestClass.deduplicationScope;
   context.terms.deduplicationWindow = requestClass.deduplicationWindow;
-  context.timeLimit = validated.remaining - kResponseMargin;
+  context.timeLimit = limitToShutdown(validated.remaining - kResponseMargin, request.receivedAt);
   context.reservation = std::move(request.reservation);
   context.upload = std::move(request.upload);
   context.uploadLength = request.uploadLength;
@@ -110,6 +121,7 @@
     return;
   context->isReceived = true;
   context->receivedAt = Clock::now();
+  context->timeLimit = limitToShutdown(context->timeLimit, context->receivedAt);
   state_.statistics.incrementInFlight();
   for (std::uint32_t attempt = 0; attempt < context->attemptsStarted; ++attempt)
     upstream_.completeUpload({context->id, attempt}, context->timeLimit);
--- a/src/gateway/request_intake.hpp
+++ b/src/gateway/request_intake.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 #include "gateway/action_executor.hpp"
@@ -11,6 +12,7 @@
 #include "gateway/request_completion.hpp"
 #include "gateway/request_validation.hpp"
 #include "gateway/upstream_pool.hpp"
+#include "hollyrun/balancer.hpp"
 
 namespace hollyrun::gateway {
 
@@ -28,6 +30,8 @@
   /// Validates further requests against the current settings of the state and registers their classes with
   /// the statistics.
   void applySettings();
+  /// Limits the time of each request that arrives from now on, so that it is answered by `lastResponse`.
+  void limitResponses(std::chrono::steady_clock::time_point lastResponse);
   /// `readiness` determines the response if the request is a health check.
   void receiveRequest(DownstreamRequest request, Readiness readiness);
   /// Starts the time limit for the response, which runs from the last byte of the upload.
@@ -42,6 +46,8 @@
   void answerHealthCheck(DownstreamRequestId client, Readiness readiness);
   void rejectInvalid(const DownstreamRequest& request, const RequestRejection& rejection);
   void acceptRequest(DownstreamRequest request, balancer::Request validated);
+  balancer::Duration limitToShutdown(balancer::Duration timeLimit,
+                                     std::chrono::steady_clock::time_point receivedAt) const;
   RequestContext& addContext(DownstreamRequest request, const balancer::Request& validated);
 
   GatewayState& state_;
@@ -50,6 +56,7 @@
   UpstreamPool& upstream_;
   DownstreamServer& downstream_;
   RequestValidator validator_;
+  std::optional<std::chrono::steady_clock::time_point> lastResponse_;  // Set during a shutdown.
 };
 
 }  // namespace hollyrun::gateway
