Upload: one to a host that reads nothing ends within the time of its request

What callers saw: a client sent 4 to 8 MB whole, within 6 ms, to a gateway whose host read nothing. The answer came after 10.0 s, where the client's time was 1 s. Up to 3 MB lay in the kernel's buffers, and the answer came after 1 s.

Each piece of an upload had 10 s, whatever the request's time, and while a piece waits the gateway reads nothing: the last byte, with which the time starts, stays unread although the client has written it.

Change: an attempt ends once its host has accepted nothing for the time of the request. What was accepted is what the host's machine has acknowledged (SIOCOUTQ), looked at every 50 ms while a piece waits: the end of a piece alone would not do, as a host that reads slowly frees the send buffer in steps of a second and more. With that look taken out, the test of a slow host fails after 1 s.

Result: both tests pass (1.3 s where 1.55 s are allowed), 14 of 14 of bodies_test.

--- a/src/gateway/action_executor.cpp
+++ b/src/gateway/action_executor.cpp
@@ -121,8 +121,9 @@
     return;
   }
   const Duration limit = context.isReceived ? action.timeLimit : kUploadConnectTimeout;
-  targets_.upstream.start({action.request, action.attempt}, action.host, std::move(message), context.upload,
-                          context.uploadLength, limit, action.latestStart);
+  StreamedUpload upload{context.upload, context.uploadLength, context.timeLimit};
+  targets_.upstream.start({action.request, action.attempt}, action.host, std::move(message),
+                          std::move(upload), limit, action.latestStart);
 }
 
 // The attempt limits are those of the settings in effect now; the class's terms are those in effect when the
--- a/src/gateway/socket_io.cpp
+++ b/src/gateway/socket_io.cpp
@@ -1,5 +1,8 @@
 #include "gateway/socket_io.hpp"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -61,6 +64,11 @@
   return socket.available(error) > 0 && !error;
 }
 
+std::size_t unacknowledgedBytes(tcp::socket& socket) {
+  int bytes = 0;
+  return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 void writeAll(tcp::socket& socket, asio::const_buffer data, WriteHandler handler) {
   error_code error;
   while (data.size() > 0) {
--- a/src/gateway/socket_io.hpp
+++ b/src/gateway/socket_io.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/system/error_code.hpp>
+#include <cstddef>
 #include <functional>
 
 namespace hollyrun::gateway {
@@ -24,6 +25,10 @@
 /// Whether unread bytes are available, including those that the event loop has not reported yet.
 bool hasUnreadBytes(const boost::asio::ip::tcp::socket& socket);
 
+/// The number of bytes that were written and that the peer's machine has not acknowledged. It stops falling
+/// once the peer reads no more and its receive buffer is full.
+std::size_t unacknowledgedBytes(boost::asio::ip::tcp::socket& socket);
+
 using WriteHandler = std::function<void(boost::system::error_code)>;
 
 /// Writes all of `data`, then calls `handler`, but never from within this call. The socket must be
--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -21,6 +21,13 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
+namespace {
+
+// Interval between checks of whether the host of a delayed upload accepts bytes.
+constexpr auto kStallCheckInterval = std::chrono::milliseconds(50);
+
+}  // namespace
+
 UpstreamConnection::UpstreamConnection(UpstreamPool& pool, balancer::HostId host)
     : pool_(pool),
       host_(host),
@@ -33,7 +40,8 @@
 void UpstreamConnection::assign(AttemptAssignment attempt, Clock::time_point now) {
   attempt_ = attempt.key;
   request_ = std::move(attempt.request);
-  upload_ = std::move(attempt.upload);
+  upload_ = std::move(attempt.upload.body);
+  uploadStallLimit_ = std::min(attempt.upload.stallLimit, kStallTimeout);
   lastChunkWritten_ = false;
   openEndedTimerSet_ = false;
   reservation_ = MemoryReservation(pool_.budget_, 0);
@@ -150,6 +158,8 @@
 void UpstreamConnection::handleTimeout(Outcome outcome) {
   if (state_ == State::relaying)
     return checkProgress();
+  if (state_ == State::writing && writingPiece_)
+    return checkStall();
   if (state_ == State::reading && outcome == Outcome::timeout && parser_ && isOpenEnded(*parser_)) {
     if (!parser_->get().body().empty())
       return beginRelay();
@@ -256,8 +266,6 @@
 void UpstreamConnection::writeUploadPiece(std::string text) {
   writingPiece_ = true;
   outgoing_ = std::move(text);
-  // Until its last byte is written the request cannot have been executed, so a stall ends as connectFailed.
-  armTimer(Clock::now() + kStallTimeout, Outcome::connectFailed);
   writeAll(socket_, asio::buffer(outgoing_), [self = shared_from_this()](error_code error) {
     self->writingPiece_ = false;
     if (self->state_ != State::writing)
@@ -267,6 +275,25 @@
     self->disarmTimer();
     self->continueUpload();
   });
+  acceptedAt_ = Clock::now();
+  armStallTimer();
+}
+
+void UpstreamConnection::armStallTimer() {
+  unacknowledgedBytes_ = unacknowledgedBytes(socket_);
+  armTimer(Clock::now() + kStallCheckInterval, Outcome::connectFailed);
+}
+
+// A slow host frees space in the send buffer in large steps, so the piece may be delayed although the host
+// reads. Until its last byte is written the request cannot have been executed, so a stall ends as
+// connectFailed.
+void UpstreamConnection::checkStall() {
+  const auto now = Clock::now();
+  if (unacknowledgedBytes(socket_) < unacknowledgedBytes_)
+    acceptedAt_ = now;
+  if (now - acceptedAt_ >= uploadStallLimit_)
+    return complete(Outcome::connectFailed);
+  armStallTimer();
 }
 
 void UpstreamConnection::continueUpload() {
--- a/src/gateway/upstream_connection.hpp
+++ b/src/gateway/upstream_connection.hpp
@@ -14,6 +14,7 @@
 #include "gateway/body_stream.hpp"
 #include "gateway/http_message.hpp"
 #include "gateway/response_progress.hpp"
+#include "gateway/upstream_limits.hpp"
 #include "gateway/upstream_observer.hpp"
 #include "gateway/upstream_response.hpp"
 #include "hollyrun/balancer.hpp"
@@ -25,13 +26,22 @@
 /// Whether a connection is kept open after its attempt.
 enum class ConnectionReuse { close, keepAlive };
 
+/// The streamed body of a request.
+struct StreamedUpload {
+  std::shared_ptr<BodyStream> body;     ///< Null if the body is not streamed.
+  std::optional<std::uint64_t> length;  ///< Bytes, if known.
+  /// The attempt ends if its host accepts nothing for this long. Meanwhile the body is not read, so its
+  /// client may have sent the last byte already and be waiting for the response.
+  balancer::Duration stallLimit = kStallTimeout;
+};
+
 /// An attempt to be carried by a connection.
 struct AttemptAssignment {
   AttemptKey key;
-  HttpRequest request;                 ///< Includes the body, unless that is streamed.
-  std::shared_ptr<BodyStream> upload;  ///< The streamed body, or null.
-  balancer::Duration timeLimit{};      ///< Time limit of the whole attempt.
-  balancer::Duration latestStart{};    ///< Time from now after which the request is not written.
+  HttpRequest request;  ///< Includes the body, unless that is streamed.
+  StreamedUpload upload;
+  balancer::Duration timeLimit{};    ///< Time limit of the whole attempt.
+  balancer::Duration latestStart{};  ///< Time from now after which the request is not written.
 };
 
 /// Carries attempts one after the other. Each attempt is reported to the pool's observer exactly once, with
@@ -85,6 +95,8 @@
   void handleRequestWritten();
   void startUpload();
   void writeUploadPiece(std::string text);
+  void armStallTimer();
+  void checkStall();
   void continueUpload();
 
   // Response, defined in upstream_response_relay.cpp.
@@ -116,7 +128,10 @@
   AttemptKey attempt_;
   HttpRequest request_;
   std::shared_ptr<BodyStream> upload_;
-  std::string outgoing_;  // The request or the piece of it that is being written.
+  balancer::Duration uploadStallLimit_{};
+  std::size_t unacknowledgedBytes_ = 0;  // When the stall timer was armed.
+  Clock::time_point acceptedAt_;         // When the host was last seen to accept bytes of the upload.
+  std::string outgoing_;                 // The request or the piece of it that is being written.
   bool writingPiece_ = false;
   bool lastChunkWritten_ = false;
   Clock::time_point startedAt_;
--- a/src/gateway/upstream_limits.hpp
+++ b/src/gateway/upstream_limits.hpp
@@ -13,7 +13,7 @@
 /// A response of unknown length is buffered for this long before it is streamed, because it may turn out to
 /// be small.
 inline constexpr std::chrono::milliseconds kOpenEndedBufferingTime{100};
-/// An upload whose host accepts no byte for this long is aborted.
+/// The longest time for which an upload continues although its host accepts no byte.
 inline constexpr balancer::Duration kStallTimeout = std::chrono::seconds(10);
 
 }  // namespace hollyrun::gateway
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -81,13 +81,13 @@
 
 void UpstreamPool::start(AttemptKey key, HostId host, HttpRequest request, Duration limit,
                          Duration latestStart) {
-  startAttempt(host, {key, std::move(request), nullptr, limit, latestStart});
+  startAttempt(host, {key, std::move(request), {}, limit, latestStart});
 }
 
-void UpstreamPool::start(AttemptKey key, HostId host, HttpRequest head, std::shared_ptr<BodyStream> upload,
-                         std::optional<std::uint64_t> length, Duration limit, Duration latestStart) {
-  if (length)
-    head.content_length(*length);
+void UpstreamPool::start(AttemptKey key, HostId host, HttpRequest head, StreamedUpload upload, Duration limit,
+                         Duration latestStart) {
+  if (upload.length)
+    head.content_length(*upload.length);
   else
     head.chunked(true);
   startAttempt(host, {key, std::move(head), std::move(upload), limit, latestStart});
--- a/src/gateway/upstream_pool.hpp
+++ b/src/gateway/upstream_pool.hpp
@@ -44,9 +44,8 @@
              balancer::Duration latestStart = balancer::Duration::max());
   /// Starts an attempt with a streamed body, which is sent chunked if its length is unknown. completeUpload()
   /// restarts the time limit.
-  void start(AttemptKey key, balancer::HostId host, HttpRequest head, std::shared_ptr<BodyStream> upload,
-             std::optional<std::uint64_t> length, balancer::Duration limit,
-             balancer::Duration latestStart = balancer::Duration::max());
+  void start(AttemptKey key, balancer::HostId host, HttpRequest head, StreamedUpload upload,
+             balancer::Duration limit, balancer::Duration latestStart = balancer::Duration::max());
   /// Restarts the time limit from now. Called when the last byte of the upload has arrived from the client.
   void completeUpload(AttemptKey key, balancer::Duration limit);
   void cancel(AttemptKey key);
--- a/tests/bodies_test.cpp
+++ b/tests/bodies_test.cpp
@@ -120,6 +120,57 @@
   EXPECT_EQ(ask(text("write")).result_int(), 200u);
 }
 
+// Guards against an upload whose client has sent it completely and waits, while its host reads nothing: the
+// time of the request does not run yet, because the gateway has not read the last byte.
+TEST_F(BodiesTest, AnUploadToAHostThatStopsReadingIsAnsweredInTime) {
+  constexpr std::size_t kMoreThanTheHostsBuffers = 8 << 20;
+  // Up to half a second after the client's timeout an answer is only worthless; on sockets 50 ms more are
+  // allowed.
+  constexpr auto kLatestAnswer = std::chrono::milliseconds(1000 + 500 + 50);
+  shortenTimeouts(1);  // Latency objective 400 ms, client timeout 1 s.
+  tcp::acceptor unread(io, loopback());
+  discovery.list.push_back(target("s-x", unread.local_endpoint()));
+  start();
+  auto connection = client();
+  connection->send(text("write", "", std::string(kMoreThanTheHostsBuffers, 'u')));
+  const auto sentAt = std::chrono::steady_clock::now();
+  ASSERT_TRUE(untilMeasured([&] { return !connection->answers.empty() || connection->closedByPeer; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - sentAt, kLatestAnswer + stalled);
+  ASSERT_EQ(connection->answers.size(), 1u);
+  EXPECT_EQ(connection->answers[0].result_int(), 503u) << "the request never executed";
+}
+
+// Guards against a limit that takes a slow host for one that stands still: the host frees the gateway's send
+// buffer in steps that take longer than the client's timeout.
+TEST_F(BodiesTest, AnUploadToAHostThatReadsSlowlyContinues) {
+  constexpr std::size_t kBody = 16 << 20, kReadSize = 48 << 10;
+  constexpr auto kReadInterval = std::chrono::milliseconds(100), kWatched = std::chrono::milliseconds(5000);
+  shortenTimeouts(1);  // Latency objective 400 ms, client timeout 1 s.
+  tcp::acceptor acceptor(io, loopback());
+  discovery.list.push_back(target("s-x", acceptor.local_endpoint()));
+  start();
+  auto connection = client();
+  connection->send(text("write", "", std::string(kBody, 'u')));
+  tcp::socket host(io);
+  acceptor.async_accept(host, [](error_code) {});
+  ASSERT_TRUE(until([&] { return host.is_open(); }));
+  host.non_blocking(true);
+  std::vector<char> piece(kReadSize);
+  const auto startedAt = std::chrono::steady_clock::now();
+  auto nextRead = startedAt;
+  ASSERT_TRUE(until([&] {
+    const auto now = std::chrono::steady_clock::now();
+    if (now >= nextRead) {
+      nextRead = now + kReadInterval;
+      error_code error;
+      host.read_some(asio::buffer(piece), error);
+    }
+    return now - startedAt > kWatched || !connection->answers.empty() || connection->closedByPeer;
+  }));
+  EXPECT_TRUE(connection->answers.empty());
+  EXPECT_FALSE(connection->closedByPeer);
+}
+
 TEST_F(BodiesTest, AMalformedChunkWithinAnUploadIsRejected) {
   addHost("a", always(answerText(200, "", "ok")));
   start();
