Tests: the disconnect before the accept no longer depends on a timer of 20 ms

Callers saw nothing: the gateway did nothing wrong.

Cause: the test has to keep a connection in the accept queue while the event loop runs. It filled the connection limit with one connection that waits for its response and one that is idle. An idle connection may be evicted, and the listener does so when its retry timer (20 ms) expires. If the test was late by that much between its set-up and its run of the loop, the gateway evicted the idle connection, accepted the next one and sent its request, all before the test disconnected its client. That is allowed: the client was still there.

Change: in several iterations the second connection waits for a response as well, so neither may be evicted and the accept queue stays as it is for as long as the test needs. In one iteration it stays idle, since its client disconnects before the loop runs at all.

As strict as before: no assertion, request or parameter was removed.

--- a/tests/departures_test.cpp
+++ b/tests/departures_test.cpp
@@ -33,12 +33,14 @@
 
   // Starts the gateway with one host that runs `script`. At the connection limit, only one connection, whose
   // request the host does not answer, is accepted regularly; the gateway accepts one more beyond the limit.
+  // In one iteration, the latter stays idle and may be evicted. In several, it awaits a response as well: an
+  // idle one would be evicted whenever the listener's retry timer expires, and the next connection accepted.
   void startWith(Script script) {
     if (isAtLimit())
       options.clients.connections = 1;
     addHost("a", [this, script](PeerConnection& connection, std::size_t attempt) {
-      if (connection.request["X-Request-Id"] == kBlockingRequestId)
-        blockedAttempt_ = connection.shared_from_this();
+      if (connection.request["X-Request-Id"].starts_with(kBlockingRequestIdPrefix))
+        blockedAttempts_.push_back(connection.shared_from_this());
       else
         script(connection, attempt);
     });
@@ -47,17 +49,19 @@
       return;
     for (int i = 0; i < 2; ++i)
       blockingClients_.push_back(client());
-    blockingClients_[0]->send(blockingRequestText());
-    ASSERT_TRUE(until([&] { return blockedAttempt_ != nullptr; }));
+    const std::size_t blockingRequests = inSeveralIterations() ? 2 : 1;
+    for (std::size_t i = 0; i < blockingRequests; ++i)
+      blockingClients_[i]->send(blockingRequestText(i));
+    ASSERT_TRUE(until([&] { return blockedAttempts_.size() == blockingRequests; }));
     reached.clear();
   }
 
-  // Completes the blocked request of startWith() and closes the connections that fill the limit.
+  // Completes the blocked requests of startWith() and closes the connections that fill the limit.
   void freeConnections() {
-    if (!blockedAttempt_)
-      return;
-    blockedAttempt_->reply(ok());
-    ASSERT_TRUE(until([&] { return blockingClients_[0]->answers.size() == 1; }));
+    for (auto& attempt : blockedAttempts_)
+      attempt->reply(ok());
+    for (std::size_t i = 0; i < blockedAttempts_.size(); ++i)
+      ASSERT_TRUE(until([&] { return blockingClients_[i]->answers.size() == 1; }));
     for (auto& blocking : blockingClients_)
       blocking->close();
   }
@@ -76,16 +80,16 @@
     EXPECT_EQ(reached.size(), 1u) << "the request of the disconnected client was sent to a host";
   }
 
-  static constexpr const char* kBlockingRequestId = "holder";
-
  private:
-  static std::string blockingRequestText() {
+  static constexpr const char* kBlockingRequestIdPrefix = "blocking-";
+
+  static std::string blockingRequestText(std::size_t number) {
     return std::string("GET /read HTTP/1.1\r\nHost: x\r\nX-Class: read\r\nX-Request-Id: ") +
-           kBlockingRequestId + "\r\n\r\n";
+           kBlockingRequestIdPrefix + std::to_string(number) + "\r\n\r\n";
   }
 
   std::vector<std::shared_ptr<Client>> blockingClients_;
-  std::shared_ptr<PeerConnection> blockedAttempt_;
+  std::vector<std::shared_ptr<PeerConnection>> blockedAttempts_;
 };
 
 TEST_P(ClientDisconnectTest, BeforeAcceptSendsNothing) {
