Testbed: a child that is signalled before its execve no longer interrupts the testbed

Gateways and their callers were not concerned.

Cause: between fork and execve a child has the testbed's signal handlers. A SIGTERM that the testbed sent in that time ran the handler of Asio's signal_set in the child. The handler writes to a pipe that the child shares with its parent, so the testbed took the signal for its own; and as the signal was handled, the child lived on.

Change: Process::start blocks all signals around the fork. The child first restores the default action of each signal that has a handler and then unblocks them, so that a pending SIGTERM ends it; ignored signals stay ignored. The parent unblocks them after the fork.

--- a/src/lab/testbed/process.cpp
+++ b/src/lab/testbed/process.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <boost/asio/read_until.hpp>
+#include <optional>
 #include <stdexcept>
 
 namespace hollyrun::lab {
@@ -23,6 +24,33 @@
   return all;
 }
 
+// Blocks all signals of the calling thread; the destructor restores the former mask.
+class SignalBlock {
+ public:
+  SignalBlock() {
+    sigset_t all;
+    ::sigfillset(&all);
+    ::pthread_sigmask(SIG_BLOCK, &all, &previousMask_);
+  }
+  ~SignalBlock() { ::pthread_sigmask(SIG_SETMASK, &previousMask_, nullptr); }
+  SignalBlock(const SignalBlock&) = delete;
+  SignalBlock& operator=(const SignalBlock&) = delete;
+
+ private:
+  sigset_t previousMask_{};
+};
+
+// Restores the default action of each signal that has a handler. Ignored signals stay ignored, as in execve.
+void resetSignalHandlers() {
+  for (int signal = 1; signal < NSIG; ++signal) {
+    struct sigaction action {};
+    const bool exists = ::sigaction(signal, nullptr, &action) == 0;
+    if (!exists || action.sa_handler == SIG_IGN || action.sa_handler == SIG_DFL)
+      continue;
+    ::signal(signal, SIG_DFL);
+  }
+}
+
 }  // namespace
 
 void Process::start(const std::string& program, const std::vector<std::string>& variables,
@@ -34,8 +62,14 @@
   commandLine.insert(commandLine.end(), arguments.begin(), arguments.end());
   const std::vector<char*> argv = pointersTo(commandLine), env = pointersTo(variables);
   const pid_t parent = ::getpid();
+  // Until execve, the child has the testbed's handlers. One of them that ran in the child would write to the
+  // pipe of the testbed's signal_set, and the child would survive the signal. So signals stay pending until
+  // the child has reset the handlers.
+  std::optional<SignalBlock> signalBlock(std::in_place);
   pid = ::fork();
   if (pid == 0) {
+    resetSignalHandlers();
+    signalBlock.reset();
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (::getppid() != parent)
       ::_exit(127);  // the testbed exited before prctl
@@ -46,6 +80,7 @@
     ::execve(program.c_str(), argv.data(), env.data());
     ::_exit(127);
   }
+  signalBlock.reset();
   ::close(pipeEnds[1]);
   pipe_.assign(pipeEnds[0]);
   if (pid < 0)
