Tests: a late request to the old process of an upgrade is answered before the kill

UpgradeTest.OldProcessAnswersLateRequestBeforeItMayBeKilled runs two processes. A request on a connection of the old one is completed 1.0 s after SIGTERM, and its host hangs. The request has to be answered, and its host may be given no more time than is left until the platform may kill the process (client timeout 3 s and 0.7 s). The time given is read from the request that reached the host, so a slow machine can only shorten it.

The set-up of the two upgrade tests is now a fixture; their requests, checks and bounds are the same. The product is unchanged.

--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -15,6 +15,8 @@
 namespace hollyrun::gateway::testing {
 namespace {
 
+using namespace std::chrono_literals;
+
 std::string programPath;  // set by main()
 
 pid_t startProgram(std::vector<std::string> variables, std::vector<std::string> arguments = {}) {
@@ -105,88 +107,158 @@
   std::remove(path.c_str());
 }
 
-// Starts a second process at the address of the first and then stops one of the two: the old one if the
-// upgrade is completed, the new one if it is rolled back. Connections with one request each are opened
-// throughout; none may be refused or reset.
-void upgrade(bool isRolledBack) {
+// An upgrade: a second process is started at the address of the first.
+class UpgradeTest : public ::testing::Test {
+ protected:
+  UpgradeTest() {
+    discovery_.list.push_back(target("s-0", host.endpoint));
+    std::filesystem::create_directory(folder_);
+    config["listen"] = textOf(clientAddress);
+    config["discovery"] = textOf(discovery_.peer.endpoint);
+    config["known"] = {{"rev", 1}, {"all", true}, {"targets", discovery_.list}};
+  }
+  ~UpgradeTest() override { std::filesystem::remove_all(folder_); }
+
+  template <class Predicate>
+  bool until(const Predicate& predicate) {
+    return runUntil(io, predicate);
+  }
+  // Waits until the client has a response or its connection is closed.
+  bool untilAnswered(const Client& client) {
+    return until([&] { return !client.answers.empty() || client.closedByPeer; });
+  }
+
+  void startOldProcess() {
+    // The lock file that a killed process has left behind.
+    const std::string staleLockFile =
+        folder_ + "/gateway-127.0.0.1-" + std::to_string(clientAddress.port()) + ".killed";
+    std::ofstream{staleLockFile};
+    std::ofstream(configPath_) << config;
+    oldProcess = start(oldManagement_);
+    ASSERT_TRUE(until([&] { return isReady(oldManagement_); }));
+    EXPECT_FALSE(std::filesystem::exists(staleLockFile));
+  }
+  // Calls `whileWaiting` repeatedly until the new process is ready.
+  template <class Action>
+  void startNewProcess(const Action& whileWaiting) {
+    newProcess = start(newManagement_);
+    ASSERT_TRUE(until([&] {
+      whileWaiting();
+      return isReady(newManagement_);
+    }));
+    EXPECT_TRUE(isReady(oldManagement_)) << "the old process should serve until it receives SIGTERM";
+  }
+
+  // Sends a request on a new connection. None may be refused or reset.
+  void expectServed() {
+    const std::string id = "r" + std::to_string(++serial_);
+    const std::string request = "GET /read HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + id + "\r\n\r\n";
+    EXPECT_EQ(statusOf(clientAddress, request), 200u) << id;
+  }
+
+  // Stops one of the two processes while connections with one request each are opened throughout.
+  void expectNoConnectionLostWhileStopping(pid_t stopped, pid_t remaining) {
+    constexpr int kRequests = 50;  // Before and after the stop.
+    for (int i = 0; i < kRequests; ++i)
+      expectServed();
+    kill(stopped, SIGTERM);
+    int status = 0;
+    ASSERT_TRUE(until([&] {
+      expectServed();
+      return waitpid(stopped, &status, WNOHANG) == stopped;
+    }));
+    EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+    for (int i = 0; i < kRequests; ++i)
+      expectServed();
+    expectExitsAfterSigterm(remaining);
+  }
+  static void expectExitsAfterSigterm(pid_t process) {
+    kill(process, SIGTERM);
+    EXPECT_EQ(exitCode(process), 0);
+  }
+
   asio::io_context io;
-  const auto freeAddress = [&] { return tcp::acceptor(io, loopback()).local_endpoint(); };
-  const tcp::endpoint clientAddress = freeAddress(), oldManagement = freeAddress(),
-                      newManagement = freeAddress();
-  FakeDiscovery discovery(io);
-  Peer host(io, [](PeerConnection& connection) { connection.reply(answerText(200, "", "x")); });
-  discovery.list.push_back(target("s-0", host.endpoint));
-  const std::string folder = ::testing::TempDir() + "upgrade_" + std::to_string(getpid());
-  std::filesystem::create_directory(folder);
-  // The lock file that a killed process has left behind.
-  const std::string staleLockFile =
-      folder + "/gateway-127.0.0.1-" + std::to_string(clientAddress.port()) + ".killed";
-  std::ofstream{staleLockFile};
+  const tcp::endpoint clientAddress = freeAddress();
+  Peer host{io, [](PeerConnection& connection) { connection.reply(answerText(200, "", "x")); }};
   json config = configJson();
-  config["listen"] = textOf(clientAddress);
-  config["discovery"] = textOf(discovery.peer.endpoint);
-  config["known"] = {{"rev", 1}, {"all", true}, {"targets", discovery.list}};
-  const std::string path = folder + "/config.json";
-  std::ofstream(path) << config;
-  const auto until = [&](const auto& predicate) { return runUntil(io, predicate); };
+  pid_t oldProcess = 0, newProcess = 0;
+
+ private:
+  tcp::endpoint freeAddress() { return tcp::acceptor(io, loopback()).local_endpoint(); }
+  pid_t start(const tcp::endpoint& management) const {
+    return startProgram(
+        {"GW_CONFIG=" + configPath_, "GW_MANAGEMENT=" + textOf(management), "TMPDIR=" + folder_});
+  }
+  bool isReady(const tcp::endpoint& management) {
+    return statusOf(management, "GET /ops/readiness HTTP/1.1\r\nHost: x\r\n\r\n") == 200;
+  }
   // Returns the status of the response, 0 if the connection was refused and 1 if there was no response.
-  const auto statusOf = [&](const tcp::endpoint& address, const std::string& request) {
+  unsigned statusOf(const tcp::endpoint& address, const std::string& request) {
     std::shared_ptr<Client> connection;
     try {
       connection = Client::connect(io, address);
     } catch (const boost::system::system_error&) {
-      return 0u;
+      return 0;
     }
     connection->send(request);
-    until([&] { return !connection->answers.empty() || connection->closedByPeer; });
-    return connection->answers.empty() ? 1u : connection->answers.front().result_int();
-  };
-  const auto isReady = [&](const tcp::endpoint& management) {
-    return statusOf(management, "GET /ops/readiness HTTP/1.1\r\nHost: x\r\n\r\n") == 200;
-  };
-  const auto start = [&](const tcp::endpoint& management) {
-    return startProgram({"GW_CONFIG=" + path, "GW_MANAGEMENT=" + textOf(management), "TMPDIR=" + folder});
-  };
-  const pid_t oldProcess = start(oldManagement);
-  ASSERT_TRUE(until([&] { return isReady(oldManagement); }));
-  EXPECT_FALSE(std::filesystem::exists(staleLockFile));
-  int serial = 0;
-  const auto expectServed = [&] {
-    EXPECT_EQ(statusOf(clientAddress, "GET /read HTTP/1.1\r\nHost: x\r\nX-Request-Id: r" +
-                                          std::to_string(++serial) + "\r\n\r\n"),
-              200u)
-        << serial;
-  };
+    untilAnswered(*connection);
+    return connection->answers.empty() ? 1 : connection->answers.front().result_int();
+  }
+
+  const tcp::endpoint oldManagement_ = freeAddress(), newManagement_ = freeAddress();
+  const std::string folder_ = ::testing::TempDir() + "upgrade_" + std::to_string(getpid());
+  const std::string configPath_ = folder_ + "/config.json";
+  FakeDiscovery discovery_{io};
+  int serial_ = 0;  // The number in the last request ID.
+};
+
+TEST_F(UpgradeTest, LosesNoConnection) {
+  startOldProcess();
   expectServed();
-  const pid_t newProcess = start(newManagement);
-  ASSERT_TRUE(until([&] {
-    expectServed();
-    return isReady(newManagement);
-  }));
-  EXPECT_TRUE(isReady(oldManagement)) << "the old process should serve until it receives SIGTERM";
-  for (int i = 0; i < 50; ++i)
-    expectServed();
-  const pid_t stopped = isRolledBack ? newProcess : oldProcess;
-  const pid_t remaining = isRolledBack ? oldProcess : newProcess;
-  kill(stopped, SIGTERM);
-  int status = 0;
-  ASSERT_TRUE(until([&] {
-    expectServed();
-    return waitpid(stopped, &status, WNOHANG) == stopped;
-  }));
-  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
-  for (int i = 0; i < 50; ++i)
-    expectServed();
-  kill(remaining, SIGTERM);
-  EXPECT_EQ(exitCode(remaining), 0);
-  std::filesystem::remove_all(folder);
+  startNewProcess([&] { expectServed(); });
+  expectNoConnectionLostWhileStopping(oldProcess, newProcess);
 }
 
-TEST(Program, UpgradeLosesNoConnection) {
-  upgrade(/*isRolledBack=*/false);
+TEST_F(UpgradeTest, LosesNoConnectionIfItIsRolledBack) {
+  startOldProcess();
+  expectServed();
+  startNewProcess([&] { expectServed(); });
+  expectNoConnectionLostWhileStopping(newProcess, oldProcess);
 }
-TEST(Program, RolledBackUpgradeLosesNoConnection) {
-  upgrade(/*isRolledBack=*/true);
+
+// Guards against a request that is completed after the old process of an upgrade received SIGTERM, and that
+// gets more time than the process may have left.
+TEST_F(UpgradeTest, OldProcessAnswersLateRequestBeforeItMayBeKilled) {
+  using Clock = std::chrono::steady_clock;
+  // The platform kills a process no sooner than kKilledAfter after SIGTERM.
+  constexpr std::chrono::milliseconds kClientTimeout{3000}, kKilledAfter = kClientTimeout + 700ms;
+  constexpr std::chrono::milliseconds kCompletedAfter{1000};
+  const std::string firstPart =
+      "POST /write HTTP/1.1\r\nHost: x\r\nX-Class: write\r\nX-Request-Id: late\r\n"
+      "Content-Length: 8\r\n\r\nbody";
+  const std::string lastPart = "body";
+  for (auto& requestClass : config["settings"]["grades"])
+    requestClass["giveUpNs"] = requestClass["aimNs"] = std::chrono::nanoseconds(kClientTimeout).count();
+  startOldProcess();
+  const auto client = Client::connect(io, clientAddress);
+  client->send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+  ASSERT_TRUE(until([&] { return client->answers.size() == 1; }));
+  client->answers.clear();
+  startNewProcess([] {});  // Without further connections, which would evict the idle one.
+  host.script = nullptr;   // It reads requests and never answers.
+  client->send(firstPart);
+  kill(oldProcess, SIGTERM);
+  const auto terminatedAt = Clock::now();
+  ASSERT_TRUE(until([&] { return Clock::now() > terminatedAt + kCompletedAfter; }));
+  const auto timeLeft = kKilledAfter - (Clock::now() - terminatedAt);
+  client->send(lastPart);
+
+  ASSERT_TRUE(untilAnswered(*client));
+  EXPECT_EQ(client->answers.size(), 1u) << "closed without an answer";
+  ASSERT_EQ(host.requests.size(), 1u);
+  EXPECT_LT(std::chrono::milliseconds(std::stol(host.requests[0]["X-Deadline-Ms"].to_string())), timeLeft);
+  EXPECT_EQ(exitCode(oldProcess), 0);
+  expectExitsAfterSigterm(newProcess);
 }
 
 TEST(Program, ExitsWith0OnSigtermSighupSigterm) {
