Testbed: a request that was just written when its gateway is killed is excused

Callers saw nothing: the attempt was made by a gateway that the testbed itself killed.

Cause: the checker knows a request from the handler of the client's write on. If a gateway is killed after the write and before that handler has run, the request is excused while the checker does not know it, which has no effect, and the handler then leaves it out as ended. An attempt that the gateway sent before it was killed meets a request unknown to the checker, and counts as a breach.

Change: Load::gatewayKilled makes such a request known before it excuses it, as onResponse already does. No check or bound is changed; an attempt for a request of another gateway, or one that had ended before, is a breach as before.

--- a/src/lab/testbed/load.cpp
+++ b/src/lab/testbed/load.cpp
@@ -385,6 +385,12 @@
     request->timeoutTimer->cancel();
     openRequests_.erase(request->id);
     request->connection->close();
+    // The gateway may have read the request, and sent an attempt, before the handler of the write ran.
+    if (!request->written) {
+      const Arrival& arrival = calls_[request->callIndex].arrival;
+      checker_.requestAccepted(request->id, day_.classes[arrival.classIndex].settings,
+                               request->deadline + kAnswerGrace);
+    }
     checker_.excuse(request->id);
     retryOrFail(request->callIndex, false, true, {});
   }
