Membership test: counts its own sockets by descriptor, not in the kernel's table

Cause: the test, not the gateway. It counted its sockets in /proc/self/net/udp, the table of the whole machine, which is read in parts. If another process opens a UDP socket between two reads, the kernel lists the last socket of the first part again in the second. `ctest` runs tests in parallel, and other tests of membership open UDP sockets.

Change: the test asks each of its open descriptors for its type. It is as strict as before, and stricter where it counts a datagram socket of any family. The check that an open UDP socket is counted stays.

--- a/tests/membership_transport_test.cpp
+++ b/tests/membership_transport_test.cpp
@@ -2,10 +2,10 @@
 // hot restart, reports for operators, and floods of datagrams.
 #include "gateway/membership_transport.hpp"
 
+#include <sys/socket.h>
+
 #include <atomic>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <thread>
 
 #include "gateway/ops_client.hpp"
@@ -44,33 +44,28 @@
   }
 };
 
+// Returns how many datagram sockets this process has open. It asks each descriptor: the kernel's table of UDP
+// sockets is read in parts, and lists a socket twice if another process opens one between two reads.
+std::size_t countDatagramSockets() {
+  std::size_t count = 0;
+  for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd")) {
+    const int descriptor = std::stoi(entry.path().filename().string());
+    int type = 0;
+    socklen_t size = sizeof type;
+    if (::getsockopt(descriptor, SOL_SOCKET, SO_TYPE, &type, &size) == 0 && type == SOCK_DGRAM)
+      ++count;
+  }
+  return count;
+}
+
 TEST_F(MembershipTransportTest, OpensNoSocketUnlessConfigured) {
-  const auto countUdpSockets = [] {  // of this process
-    std::set<std::string> ownInodes;
-    std::error_code ignored;
-    for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd")) {
-      const std::string target = std::filesystem::read_symlink(entry.path(), ignored).string();
-      if (target.starts_with("socket:["))
-        ownInodes.insert(target.substr(8, target.size() - 9));
-    }
-    std::size_t count = 0;
-    std::ifstream table("/proc/self/net/udp");
-    for (std::string line; std::getline(table, line);) {
-      std::istringstream words(line);
-      std::string inode;  // the tenth column
-      for (int i = 0; i < 10 && words >> inode; ++i) {
-      }
-      count += ownInodes.count(inode);
-    }
-    return count;
-  };
-  EXPECT_EQ(countUdpSockets(), 0u);
+  EXPECT_EQ(countDatagramSockets(), 0u);
   asio::ip::udp::socket control(io, {asio::ip::address_v4::loopback(), 0});
-  ASSERT_EQ(countUdpSockets(), 1u) << "an open UDP socket should be counted";
-  const std::size_t before = countUdpSockets();
+  ASSERT_EQ(countDatagramSockets(), 1u) << "an open UDP socket should be counted";
+  const std::size_t before = countDatagramSockets();
   start();
   EXPECT_EQ(gateway->fleet(), nullptr);
-  EXPECT_EQ(countUdpSockets(), before);
+  EXPECT_EQ(countDatagramSockets(), before);
 }
 
 TEST_F(MembershipTransportTest, ThreeMembersFindEachOtherAndDivideQuotasUntilOneLeaves) {
