Load: the report of an accepted request to the checker stands once

The call stood in three places, the handler of the write, the response and the kill of a gateway. It is now `Load::markWritten`. No behaviour changes: a request that has ended is not written again, so its mark is not read afterwards.

--- a/src/lab/testbed/load.cpp
+++ b/src/lab/testbed/load.cpp
@@ -83,13 +83,8 @@
     const auto text = std::make_shared<std::string>(load_.textOf(*request_));
     asio::async_write(socket_, asio::buffer(*text),
                       [self = shared_from_this(), text, request = request_](error_code ec, std::size_t) {
-                        if (ec || request->ended || request->written)
-                          return;
-                        request->written = true;
-                        const Call& call = self->load_.calls_[request->callIndex];
-                        self->load_.checker_.requestAccepted(
-                            request->id, self->load_.day_.classes[call.arrival.classIndex].settings,
-                            request->deadline + kAnswerGrace);
+                        if (!ec && !request->ended)
+                          self->load_.markWritten(*request);
                       });
   }
   void read() {
@@ -300,6 +295,15 @@
          std::string(kBodyBytes, 'a');
 }
 
+void Load::markWritten(Request& request) {
+  if (request.written)
+    return;
+  request.written = true;
+  const Arrival& arrival = calls_[request.callIndex].arrival;
+  checker_.requestAccepted(request.id, day_.classes[arrival.classIndex].settings,
+                           request.deadline + kAnswerGrace);
+}
+
 void Load::onResponse(const std::shared_ptr<Request>& request, int status, const std::string& body,
                       double retryAfterS) {
   if (request->ended)
@@ -310,9 +314,7 @@
   const Time now = clockNow();
   Call& call = calls_[request->callIndex];
   const DrawnClass& drawn = day_.classes[call.arrival.classIndex];
-  // The response was read before the handler of the write ran.
-  if (!request->written)
-    checker_.requestAccepted(request->id, drawn.settings, request->deadline + kAnswerGrace);
+  markWritten(*request);  // the response may be read before the handler of the write runs
   if (status == 200) {
     if (body.find(hex(request->id)) == std::string::npos)
       checker_.addBreach(Rule::lost, now, request->id, "",
@@ -386,11 +388,7 @@
     openRequests_.erase(request->id);
     request->connection->close();
     // The gateway may have read the request, and sent an attempt, before the handler of the write ran.
-    if (!request->written) {
-      const Arrival& arrival = calls_[request->callIndex].arrival;
-      checker_.requestAccepted(request->id, day_.classes[arrival.classIndex].settings,
-                               request->deadline + kAnswerGrace);
-    }
+    markWritten(*request);
     checker_.excuse(request->id);
     retryOrFail(request->callIndex, false, true, {});
   }
--- a/src/lab/testbed/load.hpp
+++ b/src/lab/testbed/load.hpp
@@ -76,6 +76,8 @@
   void startDueCalls();
   void sendRequest(std::uint32_t call);
   void sendOnConnection(const std::shared_ptr<Request>& request);
+  /// Marks the request as written. Reports it to the checker as accepted, unless it was marked before.
+  void markWritten(Request& request);
   void onResponse(const std::shared_ptr<Request>& request, int status, const std::string& body,
                   double retryAfterS);
   void onConnectionLost(const std::shared_ptr<Request>& request);
