Discovery: each call's end, endpoint changes and list age are logged and counted

Cause of the gap: the client of discovery reported a failure without a reason, and lists were applied silently.

Change: DiscoveryCall is one call with a typed result; DiscoveryMonitor logs its end (reason, duration, version, age of the list) and each endpoint's change of state, and exports counters, the list's version and its age. Further attempts are logged and counted by cause, rejections and closes by the gateway are logged with their reasons. When calls are made is unchanged.

--- a/src/gateway/action_executor.cpp
+++ b/src/gateway/action_executor.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/http/verb.hpp>
 #include <chrono>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -21,6 +22,8 @@
 // Connecting alone is limited by the connection pool's connect timeout, which is shorter.
 constexpr Duration kUploadConnectTimeout = std::chrono::seconds(10);
 
+constexpr std::string_view kHedge = "hedge";  // the cause of an attempt beside one that is in flight
+
 }  // namespace
 
 ActionExecutor::ActionExecutor(boost::asio::io_context& io, GatewayState& state,
@@ -100,6 +103,8 @@
   RequestContext* const context = state_.requests.find(action.request);
   if (!context || context->isFinished)
     return;
+  if (action.attempt > 0)
+    recordFurtherAttempt(*context, action);
   ++context->attemptsInFlight;
   context->attemptsStarted = action.attempt + 1;
   context->attemptTerms.push_back(currentTerms(*context, action.host));
@@ -114,6 +119,16 @@
                           action.latestStart);
 }
 
+void ActionExecutor::recordFurtherAttempt(const RequestContext& context, const Action& action) {
+  const bool isHedge = context.attemptsInFlight > 0 || !context.lastOutcome;
+  const std::string_view cause = isHedge ? kHedge : nameOf(*context.lastOutcome);
+  if (isHedge)
+    ++state_.counters.hedges;
+  else
+    state_.counters.recordRetry(*context.lastOutcome);
+  state_.requestLog.logFurtherAttempt(context, action, cause);
+}
+
 // A streamed body cannot be sent again once its consumption has started, and two attempts cannot share it.
 void ActionExecutor::startUpload(RequestContext& context, const Action& action, HttpRequest message) {
   if (context.upload->consumptionStarted() || context.attemptsInFlight > 1) {
--- a/src/gateway/action_executor.hpp
+++ b/src/gateway/action_executor.hpp
@@ -41,6 +41,7 @@
   void disconnectDepartedClients();
   void execute(const balancer::Action& action);
   void startAttempt(const balancer::Action& action);
+  void recordFurtherAttempt(const RequestContext& context, const balancer::Action& action);
   void startUpload(RequestContext& context, const balancer::Action& action, HttpRequest message);
   balancer::AttemptTerms currentTerms(const RequestContext& context, balancer::HostId host) const;
   void scheduleWake(balancer::Time at);
--- a/src/gateway/discovery.hpp
+++ b/src/gateway/discovery.hpp
@@ -4,26 +4,24 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 
+#include "gateway/discovery_call.hpp"
+#include "gateway/discovery_monitor.hpp"
 #include "gateway/endpoint_list.hpp"
 
 namespace hollyrun::gateway {
 
-class Discovery {
+class Discovery : private DiscoveryCallObserver {
  public:
   struct Callbacks {
     std::function<void(const EndpointList&)> onEndpoints;
     std::function<void()> onFailure;  ///< The watch has ended; watch() starts a new one.
+    std::function<void(const DiscoveryCallReport&)> onCallEnded = nullptr;  ///< Optional.
   };
   struct Timeouts {
     std::chrono::milliseconds watch{20000};  ///< The time that a long poll waits for a change.
@@ -49,21 +47,19 @@
   void stop();
 
  private:
-  struct Connection;
   /// The first poll returns at once, so that the balancer is notified that the watch works; later polls wait
   /// for a change.
-  enum class RequestType { snapshot, firstPoll, poll };
-
-  void send(RequestType type);
-  void complete(RequestType type, const std::optional<EndpointList>& list);
-  void fail();
+  void send(DiscoveryCallType type);
+  void onCallComplete(DiscoveryCall& call, DiscoveryCallOutcome outcome) override;
+  DiscoveryCallResult applyOutcome(DiscoveryCallOutcome& outcome, DiscoveryCallType type);
+  void report(const DiscoveryCall& call, DiscoveryCallResult result, const DiscoveryCallOutcome& outcome);
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint server_;
   Callbacks callbacks_;
   Timeouts timeouts_;
   std::optional<std::int64_t> version_;
-  std::shared_ptr<Connection> connection_;
+  std::shared_ptr<DiscoveryCall> call_;
 };
 
 }  // namespace hollyrun::gateway
--- a/src/gateway/downstream_observer.hpp
+++ b/src/gateway/downstream_observer.hpp
@@ -49,6 +49,8 @@
   virtual void onLocalRejection(const std::string& target, RejectionKind kind) = 0;
   /// The gateway closed a connection whose client was waiting for its response: the request is lost.
   virtual void onClosedUnanswered(DownstreamRequestId id, CloseReason reason) = 0;
+  /// A connection was closed, whether or not its client was waiting for a response.
+  virtual void onClosed(CloseReason) {}
   /// The last connection has been closed after stopAccepting().
   virtual void onDrained() = 0;
   /// Called within stopAccepting(), when all pending connections are accepted and the listener is still open.
--- a/src/gateway/downstream_server.cpp
+++ b/src/gateway/downstream_server.cpp
@@ -59,6 +59,7 @@
 
 void DownstreamServer::countClosed(CloseReason reason) {
   ++closed_[static_cast<std::size_t>(reason)];
+  observer_.onClosed(reason);
 }
 
 void DownstreamServer::removeConnection(const std::shared_ptr<DownstreamConnection>& connection) {
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -1,6 +1,7 @@
 #include "gateway/endpoint_table.hpp"
 
 #include <cstddef>
+#include <optional>
 #include <utility>
 
 namespace hollyrun::gateway {
@@ -11,10 +12,11 @@
 using balancer::EndpointStatus;
 using balancer::HostId;
 
-EndpointTable::EndpointTable(GatewayState& state, UpstreamPool& upstream)
-    : state_(state), upstream_(upstream), startTimes_(state.clock.readClocks()) {}
+EndpointTable::EndpointTable(GatewayState& state, UpstreamPool& upstream, DiscoveryMonitor& monitor)
+    : state_(state), upstream_(upstream), monitor_(monitor), startTimes_(state.clock.readClocks()) {}
 
 void EndpointTable::applyEndpointList(const EndpointList& list, EndpointListKind kind) {
+  const std::vector<EndpointState> previousStates = currentStates();
   const std::vector<Endpoint> endpoints = convert(list, kind);
   state_.balancer.onEndpoints(state_.clock.now(), kind, endpoints);
   // Only a delta keeps endpoints that it does not list. For any other list all endpoints are marked as
@@ -31,9 +33,33 @@
     if (listed.state != EndpointState::serving)
       upstream_.drain(id);
   }
+  if (kind != EndpointListKind::cached)  // a cached list is what this process starts with, not a change
+    reportStateChanges(previousStates, list.version);
   isReady_ = isReady_ || !list.endpoints.empty() || kind != EndpointListKind::cached;
 }
 
+std::vector<EndpointState> EndpointTable::currentStates() const {
+  std::vector<EndpointState> states;
+  states.reserve(statuses_.size());
+  for (const EndpointStatus& status : statuses_)
+    states.push_back(status.state);
+  return states;
+}
+
+void EndpointTable::reportStateChanges(const std::vector<EndpointState>& previous,
+                                       std::int64_t listVersion) const {
+  for (std::size_t i = 0; i < statuses_.size(); ++i) {
+    const EndpointStatus& status = statuses_[i];
+    const bool isNew = i >= previous.size();
+    if (!isNew && previous[i] == status.state)
+      continue;
+    monitor_.recordStateChange({.uid = state_.balancer.address(status.id),
+                                .from = isNew ? std::nullopt : std::optional(previous[i]),
+                                .to = status.state,
+                                .listVersion = listVersion});
+  }
+}
+
 std::vector<Endpoint> EndpointTable::convert(const EndpointList& list, EndpointListKind kind) {
   const auto source = kind == EndpointListKind::cached ? ServerStartTimes::Source::cached
                                                        : ServerStartTimes::Source::discovery;
--- a/src/gateway/endpoint_table.hpp
+++ b/src/gateway/endpoint_table.hpp
@@ -1,9 +1,11 @@
 /// Applies endpoint lists to the balancer and the upstream pool, and keeps the status of each upstream host.
 #pragma once
 
+#include <cstdint>
 #include <vector>
 
 #include "balancer/dispatch_guard.hpp"
+#include "gateway/discovery_monitor.hpp"
 #include "gateway/endpoint_list.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/server_start_times.hpp"
@@ -13,7 +15,7 @@
 
 class EndpointTable {
  public:
-  EndpointTable(GatewayState& state, UpstreamPool& upstream);
+  EndpointTable(GatewayState& state, UpstreamPool& upstream, DiscoveryMonitor& monitor);
 
   /// Applies a list to the balancer first, then to the statuses and the pool.
   void applyEndpointList(const EndpointList& list, balancer::EndpointListKind kind);
@@ -28,8 +30,13 @@
   void updateEndpoint(balancer::HostId id, const balancer::Endpoint& endpoint);
   void takeOutOfService(balancer::EndpointStatus& status, balancer::EndpointState state);
 
+  std::vector<balancer::EndpointState> currentStates() const;
+  void reportStateChanges(const std::vector<balancer::EndpointState>& previous,
+                          std::int64_t listVersion) const;
+
   GatewayState& state_;
   UpstreamPool& upstream_;
+  DiscoveryMonitor& monitor_;
   ServerStartTimes startTimes_;
   std::vector<balancer::EndpointStatus> statuses_;  // by HostId
   bool isReady_ = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,7 +45,8 @@
       state_(config.balancer, log, options.abortOnViolation ? ViolationPolicy::abort : ViolationPolicy::log),
       memory_(std::make_shared<MemoryBudget>(maxBodyBytes(config))),
       upstream_(io, upstreamLimits(config), *this, memory_),
-      endpoints_(state_, upstream_),
+      discoveryMonitor_(log),
+      endpoints_(state_, upstream_, discoveryMonitor_),
       discovery_(io, config.discovery, discoveryCallbacks(), options.discovery),
       admission_(state_, endpoints_, downstream_),
       completion_(state_, downstream_),
@@ -95,6 +96,10 @@
   intake_.recordClosedUnanswered(id, reason);
 }
 
+void Gateway::onClosed(CloseReason reason) {
+  state_.requestLog.logClose(reason);
+}
+
 void Gateway::onDrained() {
   process_.onDrained();
 }
@@ -108,15 +113,17 @@
 }
 
 Discovery::Callbacks Gateway::discoveryCallbacks() {
-  return {.onEndpoints =
-              [this](const EndpointList& list) {
-                applyEndpointList(list, list.snapshot ? EndpointListKind::snapshot : EndpointListKind::delta);
-              },
-          .onFailure =
-              [this] {
-                state_.balancer.onEndpoints(state_.clock.now(), EndpointListKind::unavailable, {});
-                actions_.executePending();
-              }};
+  return {
+      .onEndpoints =
+          [this](const EndpointList& list) {
+            applyEndpointList(list, list.snapshot ? EndpointListKind::snapshot : EndpointListKind::delta);
+          },
+      .onFailure =
+          [this] {
+            state_.balancer.onEndpoints(state_.clock.now(), EndpointListKind::unavailable, {});
+            actions_.executePending();
+          },
+      .onCallEnded = [this](const DiscoveryCallReport& report) { discoveryMonitor_.recordCallEnd(report); }};
 }
 
 Management::Callbacks Gateway::managementCallbacks() {
@@ -210,6 +217,8 @@
   auto families = fleet_ ? fleet_->metrics() : std::vector<prometheus::MetricFamily>();
   for (auto& family : collectRequestMetrics(state_.counters, admission_.guard(), downstream_.closeCounts()))
     families.push_back(std::move(family));
+  for (auto& family : discoveryMonitor_.collectMetrics())
+    families.push_back(std::move(family));
   return families;
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -15,6 +15,7 @@
 #include "gateway/attempt_admission.hpp"
 #include "gateway/config.hpp"
 #include "gateway/discovery.hpp"
+#include "gateway/discovery_monitor.hpp"
 #include "gateway/downstream_server.hpp"
 #include "gateway/endpoint_table.hpp"
 #include "gateway/gateway_state.hpp"
@@ -69,6 +70,7 @@
   void onUploadComplete(DownstreamRequestId id) override;
   void onLocalRejection(const std::string& target, RejectionKind kind) override;
   void onClosedUnanswered(DownstreamRequestId id, CloseReason reason) override;
+  void onClosed(CloseReason reason) override;
   void onDrained() override;
   // UpstreamObserver
   void onAttemptComplete(AttemptCompletion completion) override;
@@ -91,6 +93,7 @@
   GatewayState state_;
   std::shared_ptr<MemoryBudget> memory_;
   UpstreamPool upstream_;
+  DiscoveryMonitor discoveryMonitor_;
   EndpointTable endpoints_;
   Discovery discovery_;
   AttemptAdmission admission_;
--- a/src/gateway/request_completion.cpp
+++ b/src/gateway/request_completion.cpp
@@ -55,6 +55,7 @@
     return;
   --context->attemptsInFlight;
   context->history.recordEnd(completion.key.attempt, completion.outcome);
+  context->lastOutcome = completion.outcome;
   state_.counters.recordAttempt(completion.outcome);
   state_.requestLog.traceAttempt("attempt_ended", *context, completion.key.attempt, completion.host,
                                  nameOf(completion.outcome));
@@ -74,7 +75,7 @@
     return;
   state_.requests.scheduleRemoval(context->id);
   state_.counters.recordRejection(action.reason);
-  state_.requestLog.traceRejection(*context, action);
+  state_.requestLog.logRejection(*context, action);
   sendResponse(*context, rejectionResponse(action),
                action.kind == ActionKind::reject ? Statistics::Outcome::busy : Statistics::Outcome::failure);
 }
--- a/src/gateway/request_intake.cpp
+++ b/src/gateway/request_intake.cpp
@@ -69,6 +69,8 @@
 // The end of an invalid message is ambiguous, so its connection is closed: the bytes after it must not be
 // parsed as a request.
 void RequestIntake::rejectInvalid(const DownstreamRequest& request, const RequestRejection& rejection) {
+  state_.requestLog.logInvalidRequest(request.message["X-Request-Id"].to_string(),
+                                      static_cast<unsigned>(rejection.status));
   HttpResponse response = emptyResponse(rejection.status);
   response.keep_alive(false);
   const std::size_t classIndex = state_.statistics.findClass(firstPathSegment(request.message.target()));
@@ -146,6 +148,7 @@
 }
 
 void RequestIntake::recordLocalRejection(const std::string& target, RejectionKind kind) {
+  state_.requestLog.logUnreadRejection(kind);
   const auto outcome =
       kind == RejectionKind::overloaded ? Statistics::Outcome::busy : Statistics::Outcome::failure;
   state_.statistics.recordOutcome(state_.statistics.findClass(firstPathSegment(target)), outcome,
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -47,11 +47,42 @@
                  "deadline_ms=" + std::to_string(advertisedDeadline.count()));
 }
 
-void RequestLog::traceRejection(const RequestContext& context, const balancer::Action& action) {
-  if (!log_.tracing())
-    return;
-  log_.trace(action.kind == ActionKind::reject ? "request_rejected" : "request_failed",
-             {{"request", context.clientId()}, {"reason", std::string(nameOf(action.reason))}});
+void RequestLog::logRejection(const RequestContext& context, const balancer::Action& action) {
+  const bool isRejection = action.kind == ActionKind::reject;
+  if (log_.tracing())
+    return log_.trace(isRejection ? "request_rejected" : "request_failed",
+                      {{"request", context.clientId()}, {"reason", std::string(nameOf(action.reason))}});
+  log_.write(LogLevel::info, "rejection", isRejection ? "request rejected" : "request failed",
+             {{"request", context.clientId()},
+              {"reason", std::string(nameOf(action.reason))},
+              {"attempts", std::to_string(context.attemptsStarted)}});
+}
+
+void RequestLog::logFurtherAttempt(const RequestContext& context, const balancer::Action& action,
+                                   std::string_view cause) {
+  log_.write(LogLevel::info, "retry", "further attempt",
+             {{"request", context.clientId()},
+              {"attempt", std::to_string(action.attempt)},
+              {"host", balancer_.address(action.host)},
+              {"cause", std::string(cause)}});
+}
+
+void RequestLog::logInvalidRequest(const std::string& clientId, unsigned status) {
+  log_.write(LogLevel::info, "rejection", "request invalid",
+             {{"request", clientId}, {"status", std::to_string(status)}});
+}
+
+void RequestLog::logUnreadRejection(RejectionKind kind) {
+  log_.write(LogLevel::info, "rejection", "request rejected before it was read whole",
+             {{"reason", kind == RejectionKind::overloaded ? "no_memory" : "invalid"}});
+}
+
+void RequestLog::logClose(CloseReason reason) {
+  const bool isOrdinary = reason == CloseReason::clientDisconnected || reason == CloseReason::idleTimeout ||
+                          reason == CloseReason::finalResponse;
+  if (!isOrdinary)
+    log_.write(LogLevel::info, "close", "client connection closed",
+               {{"reason", std::string(nameOf(reason))}});
 }
 
 void RequestLog::traceClientDisconnected(const RequestContext& context) {
--- a/src/gateway/request_log.hpp
+++ b/src/gateway/request_log.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "gateway/close_reason.hpp"
 #include "gateway/log.hpp"
 #include "gateway/request_table.hpp"
 #include "hollyrun/balancer.hpp"
@@ -26,7 +27,17 @@
                     balancer::HostId host, std::string_view detail);
   void traceAttemptStarted(const RequestContext& context, std::uint32_t attempt, balancer::HostId host,
                            std::chrono::milliseconds advertisedDeadline);
-  void traceRejection(const RequestContext& context, const balancer::Action& action);
+  /// Logs that a request was rejected or failed, and the reason.
+  void logRejection(const RequestContext& context, const balancer::Action& action);
+  /// Logs an attempt after the first one. `cause` is the outcome of the attempt before it.
+  void logFurtherAttempt(const RequestContext& context, const balancer::Action& action,
+                         std::string_view cause);
+  /// Logs that a client's message was rejected before the balancer received it.
+  void logInvalidRequest(const std::string& clientId, unsigned status);
+  /// Logs that the downstream server rejected a message itself.
+  void logUnreadRejection(RejectionKind kind);
+  /// Logs that this gateway closed a connection to a client for another reason than the end of its use.
+  void logClose(CloseReason reason);
   void traceClientDisconnected(const RequestContext& context);
 
   bool isAccessLogged() const { return log_.accessLogEnabled(); }
--- a/src/gateway/request_metrics.cpp
+++ b/src/gateway/request_metrics.cpp
@@ -3,6 +3,8 @@
 #include <string>
 #include <utility>
 
+#include "gateway/metric_families.hpp"
+
 namespace hollyrun::gateway {
 namespace {
 
@@ -13,21 +15,6 @@
     "queue_too_long", "no_host", "retry_budget", "not_wanted"};
 constexpr std::string_view kClosedUnanswered = "closed_unanswered";
 
-prometheus::MetricFamily counterFamily(const char* name, const char* help) {
-  prometheus::MetricFamily family;
-  family.name = name;
-  family.help = help;
-  family.type = prometheus::MetricType::Counter;
-  return family;
-}
-
-void addCounter(prometheus::MetricFamily& family, const char* label, std::string_view value,
-                std::uint64_t count) {
-  prometheus::ClientMetric& metric = family.metric.emplace_back();
-  metric.label = {{label, std::string(value)}};
-  metric.counter.value = static_cast<double>(count);
-}
-
 }  // namespace
 
 std::string_view nameOf(balancer::Outcome outcome) {
@@ -44,6 +31,11 @@
   auto attempts = counterFamily("hollyrun_attempts_ended_total", "Attempts that have ended, by outcome.");
   for (std::size_t i = 0; i < kOutcomeCount; ++i)
     addCounter(attempts, "outcome", kOutcomeNames[i], counters.attemptOutcomes[i]);
+  auto retries = counterFamily("hollyrun_further_attempts_total",
+                               "Attempts after the first of a request, by what caused them.");
+  for (std::size_t i = 0; i < kOutcomeCount; ++i)
+    addCounter(retries, "cause", kOutcomeNames[i], counters.retries[i]);
+  addCounter(retries, "cause", "hedge", counters.hedges);
   auto rejections = counterFamily("hollyrun_given_up_total", "Requests refused or failed here, by reason.");
   for (std::size_t i = 1; i < balancer::kRejectReasonCount; ++i)
     addCounter(rejections, "reason", kRejectReasonNames[i], counters.rejections[i]);
@@ -61,8 +53,8 @@
                               "Clients' connections, by reason of their end.");
   for (std::size_t i = 0; i < kCloseReasons; ++i)
     addCounter(closes, "reason", nameOf(static_cast<CloseReason>(i)), closed[i]);
-  return {std::move(attempts), std::move(rejections), std::move(denied), std::move(violations),
-          std::move(closes)};
+  return {std::move(attempts), std::move(retries),    std::move(rejections),
+          std::move(denied),   std::move(violations), std::move(closes)};
 }
 
 }  // namespace hollyrun::gateway
--- a/src/gateway/request_metrics.hpp
+++ b/src/gateway/request_metrics.hpp
@@ -24,9 +24,12 @@
 struct RequestCounters {
   std::array<std::uint64_t, kOutcomeCount> attemptOutcomes{};            ///< Indexed by Outcome.
   std::array<std::uint64_t, balancer::kRejectReasonCount> rejections{};  ///< Indexed by RejectReason.
+  std::array<std::uint64_t, kOutcomeCount> retries{};  ///< Indexed by the Outcome that caused the retry.
+  std::uint64_t hedges = 0;                            ///< Attempts beside one that was in flight.
   std::uint64_t closedUnanswered = 0;  ///< Connections closed while the client was waiting (violations).
 
   void recordAttempt(balancer::Outcome outcome) { ++attemptOutcomes[static_cast<std::size_t>(outcome)]; }
+  void recordRetry(balancer::Outcome cause) { ++retries[static_cast<std::size_t>(cause)]; }
   void recordRejection(balancer::RejectReason reason) { ++rejections[static_cast<std::size_t>(reason)]; }
 };
 
--- a/src/gateway/request_table.hpp
+++ b/src/gateway/request_table.hpp
@@ -30,8 +30,9 @@
   std::size_t statisticsClass = 0;
   std::uint32_t attemptsStarted = 0;  ///< Attempts are numbered from 0.
   std::uint32_t attemptsInFlight = 0;
-  balancer::AttemptHistory history;  ///< The attempts whose first byte was written.
-  balancer::AttemptTerms terms;      ///< The class's terms in the settings at the arrival.
+  std::optional<balancer::Outcome> lastOutcome;  ///< Of the attempt that ended last.
+  balancer::AttemptHistory history;              ///< The attempts whose first byte was written.
+  balancer::AttemptTerms terms;                  ///< The class's terms in the settings at the arrival.
   /// The terms of each attempt, indexed by attempt: `terms` with the attempt limits in effect at its start.
   std::vector<balancer::AttemptTerms> attemptTerms;
   bool isFinished = false;  ///< Answered, or the client has disconnected.
