Soak: drains count as the platform counts them; discovery moves, refuses, fails, is late

The soak could not see it: it counted a drain as announced only once it was written to an open watch, its SIGHUP never moved discovery, and its agents were silent or closed watches, nothing else.

Change: the oracle counts what the agent has from the moment at which it can be reached, whether or not a call is open; after a move of discovery 4 s after SIGHUP; where a list was written earlier, from then. Agents refuse, answer with errors or invalid lists, answer late, forget the calls of an outage; an outage of all agents ends with a drain that began shortly before. Half of the reloads move discovery. SIGTERM is followed by SIGKILL at the platform's earliest time (longest deadline plus 0.7 s) in half of the cases and clients use open connections until then; such a kill excuses only requests that were just being written.

--- a/src/lab/soak/fault_schedule.hpp
+++ b/src/lab/soak/fault_schedule.hpp
@@ -10,11 +10,13 @@
 namespace hollyrun::lab {
 
 enum class SoakFaultKind : std::uint8_t {
-  gatewayTerm,       ///< SIGTERM; a new process is started once the old one has ended
+  gatewayTerm,       ///< SIGTERM, in half of the cases SIGKILL at the earliest time that the platform allows;
+                     ///< a new process is started once the old one has ended
   gatewayKill,       ///< SIGKILL; a new process is started
   gatewayPause,      ///< SIGSTOP for up to 0.15 s
   gatewayStop,       ///< SIGSTOP for up to 1.5 s
-  gatewayReload,     ///< SIGHUP with a valid configuration file
+  gatewayReload,     ///< SIGHUP with a valid configuration file, which in half of the cases names another
+                     ///< address of discovery
   gatewayBadReload,  ///< SIGHUP with a truncated configuration file
   clockStep,         ///< steps the wall clock of one gateway
   shortCalls,        ///< send and receive move only a few bytes at a time
@@ -25,9 +27,16 @@
   serverHang,        ///< accepts requests and never answers
   serverReset,       ///< resets the connection when a request arrives
   serverRefuse,      ///< answers 503 with X-Not-Run
-  discoverySilent,   ///< withholds responses from one gateway until the fault ends
+  discoverySilent,   ///< withholds responses from one gateway until the fault ends, in half of the cases for
+                     ///< good
   discoveryClosed,   ///< closes the watch connections of one gateway
   clientsLeave,      ///< some clients disconnect early: by close, half-close or reset
+  discoveryRefuses,  ///< refuses the calls of one gateway
+  discoveryFails,    ///< answers the calls of one gateway with an error or something that is not a list
+  discoveryLate,     ///< answers the calls of one gateway late
+  discoveryOutage,   ///< fails all calls of all gateways; a server begins to drain shortly before the return
+  signalSeries,      ///< several signals to one gateway, one shortly after the other
+  idleCrowd,         ///< idle clients fill the descriptors of one gateway
   count
 };
 inline constexpr std::size_t kSoakFaultKinds = static_cast<std::size_t>(SoakFaultKind::count);
--- a/src/lab/soak/oracle.cpp
+++ b/src/lab/soak/oracle.cpp
@@ -43,9 +43,15 @@
   return paused;
 }
 
-bool SoakOracle::killedSince(std::size_t gateway, SoakTime from) const {
-  const auto it = killedAt_.find(gateway);
-  return it != killedAt_.end() && it->second >= from;
+bool SoakOracle::isExcusedByKill(const Request& request) const {
+  const auto killed = killedAt_.find(request.gateway);
+  if (killed != killedAt_.end() && killed->second >= request.sent)
+    return true;
+  const auto killedAfterTerm = killedAfterTermAt_.find(request.gateway);
+  if (killedAfterTerm == killedAfterTermAt_.end())
+    return false;
+  const SoakTime sentBeforeKill = killedAfterTerm->second - request.sent;
+  return sentBeforeKill >= SoakTime{} && sentBeforeKill <= slack_;
 }
 
 void SoakOracle::requestSent(const std::string& id, const SoakClass& requestClass, std::size_t gateway,
@@ -84,10 +90,11 @@
         "answered " + millisecondsText(now - request.sent) + " after it was sent, which is too late");
 }
 
-void SoakOracle::closedUnanswered(const std::string& id, SoakTime now) {
+void SoakOracle::closedUnanswered(const std::string& id, SoakTime now, bool isNewConnection) {
   Request& request = requests_.at(id);
   request.complete = true;
-  if (!killedSince(request.gateway, request.sent))
+  const bool isExcusedByCrowd = isNewConnection && crowded_.contains(request.gateway);
+  if (!isExcusedByCrowd && !isExcusedByKill(request))
     add(SoakRule::unanswered, id,
         "gateway " + std::to_string(request.gateway) + " closed the connection after " +
             millisecondsText(now - request.sent) + " without a response");
@@ -112,13 +119,14 @@
     add(SoakRule::toldTooMuch, id,
         "the server was given " + millisecondsText(*deadline) + ", but the client had " +
             millisecondsText(remaining) + " left");
-  const auto since = notServingSince_.find({gateway, server});
-  if (since != notServingSince_.end()) {
-    const SoakTime late = now - since->second;
-    if (late > kDrainGrace + kSchedulingDelay + slack_ + pausedDuring(gateway, since->second, now))
+  const auto drain = drains_.find({gateway, server});
+  if (drain != drains_.end()) {
+    const std::optional<SoakTime> since = countsAsAnnounced(gateway, drain->second);
+    if (since && now - *since > kDrainGrace + kSchedulingDelay + slack_ + pausedDuring(gateway, *since, now))
       add(SoakRule::afterDrain, id,
-          "arrived at server " + std::to_string(server) + " " + millisecondsText(late) +
-              " after its drain was announced");
+          "arrived at server " + std::to_string(server) + " from gateway " + std::to_string(gateway) + " " +
+              millisecondsText(now - *since) + " after its drain counted as announced (" +
+              (drain->second.written ? "written" : "not written") + " to the gateway)");
   }
   checkSlowStart(server, now);
 }
@@ -156,11 +164,58 @@
 }
 
 void SoakOracle::announcedNotServing(std::size_t gateway, std::size_t server, SoakTime now) {
-  notServingSince_.emplace(std::pair(gateway, server), now);
+  Drain& drain = drains_[{gateway, server}];
+  drain.written = drain.written.value_or(now);
 }
 
 void SoakOracle::announcedServing(std::size_t gateway, std::size_t server) {
-  notServingSince_.erase({gateway, server});
+  drains_.erase({gateway, server});
+}
+
+void SoakOracle::agentHasNotServing(std::size_t gateway, std::size_t server, SoakTime now) {
+  Drain& drain = drains_[{gateway, server}];
+  drain.inAgent = drain.inAgent.value_or(now);
+}
+
+void SoakOracle::agentHasServing(std::size_t gateway, std::size_t server) {
+  drains_.erase({gateway, server});
+}
+
+void SoakOracle::agentUnreachable(std::size_t gateway, SoakTime now) {
+  for (auto& [key, drain] : drains_) {
+    if (key.first != gateway || drain.written || drain.counted)
+      continue;
+    // A drain whose grace had passed while the agent could be reached goes on to count.
+    const std::optional<SoakTime> since = countsByAgent(gateway, drain);
+    if (since && now - *since > kDrainGrace + kSchedulingDelay)
+      drain.counted = since;
+  }
+  agents_[gateway].reachable = false;
+}
+
+void SoakOracle::agentReachable(std::size_t gateway, SoakTime from) {
+  agents_[gateway] = {.reachable = true, .reachableSince = from, .delay = {}};
+}
+
+void SoakOracle::agentDelayed(std::size_t gateway, SoakTime delay) {
+  agents_[gateway].delay = delay;
+}
+
+std::optional<SoakTime> SoakOracle::countsByAgent(std::size_t gateway, const Drain& drain) const {
+  const auto it = agents_.find(gateway);
+  const Agent agent = it == agents_.end() ? Agent{} : it->second;
+  if (!drain.inAgent || !agent.reachable)
+    return std::nullopt;
+  return std::max(*drain.inAgent, agent.reachableSince) + agent.delay;
+}
+
+// Where two rules apply, the earlier time counts.
+std::optional<SoakTime> SoakOracle::countsAsAnnounced(std::size_t gateway, const Drain& drain) const {
+  std::optional<SoakTime> earliest;
+  for (const std::optional<SoakTime>& time : {drain.written, drain.counted, countsByAgent(gateway, drain)})
+    if (time && (!earliest || *time < *earliest))
+      earliest = time;
+  return earliest;
 }
 
 void SoakOracle::serverStarted(std::size_t server, const SlowStartBudget& budget, SoakTime now) {
@@ -171,13 +226,17 @@
   killedAt_[gateway] = now;
 }
 
+void SoakOracle::gatewayKilledAfterTerm(std::size_t gateway, SoakTime now) {
+  killedAfterTermAt_[gateway] = now;
+}
+
 void SoakOracle::gatewayPaused(std::size_t gateway, SoakTime from, SoakTime until) {
   pauses_.push_back({gateway, from, until});
 }
 
 void SoakOracle::finish(SoakTime now) {
   for (const auto& [id, request] : requests_)
-    if (!request.complete && !killedSince(request.gateway, request.sent))
+    if (!request.complete && !isExcusedByKill(request))
       add(SoakRule::unanswered, id,
           "no response " + millisecondsText(now - request.sent) + " after it was sent");
 }
--- a/src/lab/soak/oracle.hpp
+++ b/src/lab/soak/oracle.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -62,24 +63,40 @@
                    SoakTime timeout);
   void clientLeft(const std::string& id, SoakTime now);
   void requestAnswered(const std::string& id, unsigned status, std::string_view body, SoakTime now);
-  void closedUnanswered(const std::string& id, SoakTime now);
+  /// `isNewConnection`: the request was the first one on its connection.
+  void closedUnanswered(const std::string& id, SoakTime now, bool isNewConnection = false);
   void connectionRefused(const std::string& id) { requests_.at(id).complete = true; }
   // Events observed by servers. `deadline`: the remaining time stated in the request, if any.
   void requestArrived(const std::string& id, std::size_t server, std::optional<SoakTime> deadline,
                       SoakTime now);
   void requestExecuted(const std::string& id, SoakTime now);
-  // Endpoint states announced by discovery to a gateway.
+  // Endpoint states that discovery wrote to a gateway. They count as announced from then on.
   void announcedNotServing(std::size_t gateway, std::size_t server, SoakTime now);
   void announcedServing(std::size_t gateway, std::size_t server);
+  // Endpoint states that the gateway's agent of discovery has. They count as announced whether or not a watch
+  // is open, from the moment at which the agent both has them and can be reached.
+  void agentHasNotServing(std::size_t gateway, std::size_t server, SoakTime now);
+  void agentHasServing(std::size_t gateway, std::size_t server);
+  void agentUnreachable(std::size_t gateway, SoakTime now);
+  /// `from` may lie in the future, such as 4 s after SIGHUP.
+  void agentReachable(std::size_t gateway, SoakTime from);
+  /// The agent takes this long to answer.
+  void agentDelayed(std::size_t gateway, SoakTime delay);
   void serverStarted(std::size_t server, const SlowStartBudget& budget, SoakTime now);
-  // Faults injected by the soak: a kill excuses all earlier requests of the gateway; a pause extends its time
-  // limits.
+  // Faults injected by the soak: a kill excuses all earlier requests of the gateway; a kill that ends a
+  // planned restart excuses only those that were just being written; a pause extends the time limits; while
+  // idle clients fill the descriptors, new connections may be closed unread.
   void gatewayKilled(std::size_t gateway, SoakTime now);
+  void gatewayKilledAfterTerm(std::size_t gateway, SoakTime now);
+  void crowdArrived(std::size_t gateway) { crowded_.insert(gateway); }
+  void crowdLeft(std::size_t gateway) { crowded_.erase(gateway); }
   void gatewayPaused(std::size_t gateway, SoakTime from, SoakTime until);
   void reportViolation(SoakRule rule, std::string text) {
     violations_.push_back({rule, {}, std::move(text)});
   }
 
+  /// How long the soak itself kept the process stopped within this interval.
+  SoakTime pausedDuring(std::size_t gateway, SoakTime from, SoakTime until) const;
   /// Reports the requests that are still unanswered. Call once, after the timeout of every client.
   void finish(SoakTime now);
   const std::vector<SoakViolation>& violations() const { return violations_; }
@@ -109,16 +126,30 @@
     SoakTime from{}, until{};
   };
 
+  struct Drain {
+    std::optional<SoakTime> written;  ///< discovery wrote it to the gateway
+    std::optional<SoakTime> inAgent;  ///< the agent has it
+    std::optional<SoakTime> counted;  ///< it counted before the agent became unreachable
+  };
+  struct Agent {
+    bool reachable = true;
+    SoakTime reachableSince{}, delay{};
+  };
+
+  std::optional<SoakTime> countsAsAnnounced(std::size_t gateway, const Drain& drain) const;
+  std::optional<SoakTime> countsByAgent(std::size_t gateway, const Drain& drain) const;
   void add(SoakRule rule, const std::string& id, std::string text);
-  SoakTime pausedDuring(std::size_t gateway, SoakTime from, SoakTime until) const;
-  bool killedSince(std::size_t gateway, SoakTime from) const;
+  bool isExcusedByKill(const Request& request) const;
   void checkSlowStart(std::size_t server, SoakTime now);
 
   SoakTime slack_;
   std::unordered_map<std::string, Request> requests_;
-  std::map<std::pair<std::size_t, std::size_t>, SoakTime> notServingSince_;  // by gateway and server
-  std::map<std::size_t, ServerStart> starts_;                                // by server
-  std::map<std::size_t, SoakTime> killedAt_;                                 // by gateway
+  std::map<std::pair<std::size_t, std::size_t>, Drain> drains_;  // by gateway and server
+  std::map<std::size_t, Agent> agents_;                          // by gateway
+  std::map<std::size_t, ServerStart> starts_;                    // by server
+  std::map<std::size_t, SoakTime> killedAt_;                     // by gateway
+  std::map<std::size_t, SoakTime> killedAfterTermAt_;            // by gateway
+  std::set<std::size_t> crowded_;                                // gateways
   std::vector<Pause> pauses_;
   std::map<unsigned, std::size_t> statuses_;
   std::vector<SoakViolation> violations_;
--- a/src/lab/soak/peers.cpp
+++ b/src/lab/soak/peers.cpp
@@ -23,6 +23,10 @@
 
 constexpr auto kServiceTime = 5ms;
 constexpr std::size_t kMaxIdleConnections = 4;  // per gateway
+// The page on the gateways' terms: after SIGHUP the former address of discovery closes its connections after
+// 1.5 s, and changes count as announced 4 s after the signal.
+constexpr SoakTime kFormerAddressLifetime = 1500ms, kReloadAnnouncementDelay = 4s;
+constexpr const char* kInvalidList = R"({"rev":"none","all":true,"targets":{}})";
 
 tcp::endpoint ephemeralLoopbackPort() {
   return {asio::ip::address_v4::loopback(), 0};
@@ -48,17 +52,20 @@
   Handle handle;
   boost::beast::flat_buffer buffer;
   std::optional<http::request_parser<http::string_body>> parser;
+  bool open = true;
 };
 
 SoakListener::Connection::Connection(tcp::socket socket, Handle handle)
-    : state_(new State{std::move(socket), std::move(handle), {}, {}}) {}
+    : state_(new State{std::move(socket), std::move(handle), {}, {}, true}) {}
 
 void SoakListener::Connection::read() {
   state_->parser.emplace();
   http::async_read(state_->socket, state_->buffer, *state_->parser,
                    [self = shared_from_this()](error_code ec, std::size_t) {
-                     if (ec)
+                     if (ec) {
+                       self->state_->open = false;
                        return;
+                     }
                      const SoakRequest request = self->state_->parser->release();
                      self->state_->handle(self, request);
                      self->read();
@@ -74,11 +81,17 @@
 }
 
 void SoakListener::Connection::close(bool reset) {
+  state_->open = false;
   closeSocket(state_->socket, reset);
 }
 
+bool SoakListener::Connection::isOpen() const {
+  return state_->open;
+}
+
 SoakListener::SoakListener(asio::io_context& io, Handle handle)
-    : acceptor_(io, ephemeralLoopbackPort()),
+    : portReservation_(io),
+      acceptor_(io, ephemeralLoopbackPort()),
       endpoint_(acceptor_.local_endpoint()),
       handle_(std::move(handle)) {
   accept();
@@ -94,6 +107,23 @@
       connection->close(reset);
 }
 
+void SoakListener::refuse() {
+  acceptor_.close();
+  portReservation_.open(endpoint_.protocol());
+  portReservation_.set_option(tcp::socket::reuse_address(true));
+  portReservation_.bind(endpoint_);
+  closeAll(true);
+}
+
+void SoakListener::listen() {
+  acceptor_.open(endpoint_.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(endpoint_);
+  acceptor_.listen();
+  portReservation_.close();
+  accept();
+}
+
 void SoakListener::accept() {
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
     if (ec == asio::error::operation_aborted)
@@ -146,13 +176,18 @@
 SoakDiscovery::SoakDiscovery(asio::io_context& io, std::size_t gateways, SoakOracle& oracle)
     : io_(io), oracle_(oracle), agents_(gateways) {
   for (std::size_t i = 0; i < gateways; ++i)
-    agents_[i].listener = std::make_unique<SoakListener>(
-        io,
-        [this, i](const auto& connection, const SoakRequest& request) { handle(i, connection, request); });
+    agents_[i].listener = newListener(i);
 }
 
 SoakDiscovery::~SoakDiscovery() = default;
 
+std::unique_ptr<SoakListener> SoakDiscovery::newListener(std::size_t gateway) {
+  return std::make_unique<SoakListener>(io_,
+                                        [this, gateway](const auto& connection, const SoakRequest& request) {
+                                          handle(gateway, connection, request);
+                                        });
+}
+
 void SoakDiscovery::add(std::size_t server, const tcp::endpoint& endpoint) {
   if (entries_.size() <= server)
     entries_.resize(server + 1);
@@ -164,18 +199,67 @@
   entry.state = state;
   entry.bootMs = bootMs;
   entry.version = ++version_;
-  for (std::size_t i = 0; i < agents_.size(); ++i)
+  for (std::size_t i = 0; i < agents_.size(); ++i) {
+    if (state == State::serving)
+      oracle_.agentHasServing(i, server);
+    else
+      oracle_.agentHasNotServing(i, server, soakNow());
     respondToPendingWatches(i);
+  }
 }
 
 tcp::endpoint SoakDiscovery::agent(std::size_t gateway) const {
   return agents_.at(gateway).listener->endpoint();
 }
 
-void SoakDiscovery::setSilent(std::size_t gateway, bool silent) {
-  agents_.at(gateway).silent = silent;
-  if (!silent)
-    respondToPendingWatches(gateway);
+void SoakDiscovery::setMode(std::size_t gateway, SoakAgentMode mode, SoakTime delay) {
+  Agent& agent = agents_.at(gateway);
+  if (mode == agent.mode)
+    return;
+  const SoakAgentMode former = std::exchange(agent.mode, mode);
+  const SoakTime now = soakNow();
+  oracle_.agentUnreachable(gateway, now);
+  if (former == SoakAgentMode::refusing)
+    agent.listener->listen();
+  if (former == SoakAgentMode::muted)
+    agent.pendingWatches.clear();
+  if (mode == SoakAgentMode::failing || mode == SoakAgentMode::invalid)
+    closeWatches(gateway);
+  if (mode == SoakAgentMode::refusing) {
+    agent.pendingWatches.clear();
+    agent.listener->refuse();
+  }
+  // An answer that is already delayed comes at its time.
+  const SoakTime reachableFrom = former == SoakAgentMode::late ? now + agent.delay : now;
+  agent.delay = delay;
+  if (mode == SoakAgentMode::answering || mode == SoakAgentMode::late)
+    oracle_.agentReachable(gateway, std::max(reachableFrom, agent.announcesFrom));
+  if (mode == SoakAgentMode::late)
+    oracle_.agentDelayed(gateway, delay);
+  respondToPendingWatches(gateway);
+}
+
+void SoakDiscovery::move(std::size_t gateway) {
+  Agent& agent = agents_.at(gateway);
+  const SoakTime now = soakNow();
+  SoakListener& former = *agent.listener;
+  agent.formerListeners.push_back(std::exchange(agent.listener, newListener(gateway)));
+  if (agent.mode == SoakAgentMode::refusing)
+    agent.listener->refuse();
+  else
+    former.stopAccepting();
+  const auto timer = std::make_shared<asio::steady_timer>(io_, kFormerAddressLifetime);
+  timer->async_wait([timer, &former](error_code ec) {
+    if (!ec)
+      former.closeAll(false);
+  });
+  agent.announcesFrom = now + kReloadAnnouncementDelay;
+  const SoakAgentMode mode = agent.mode;
+  if (mode != SoakAgentMode::answering && mode != SoakAgentMode::late)
+    return;
+  oracle_.agentUnreachable(gateway, now);
+  oracle_.agentReachable(gateway, agent.announcesFrom);
+  oracle_.agentDelayed(gateway, agent.delay);
 }
 
 void SoakDiscovery::closeWatches(std::size_t gateway) {
@@ -187,37 +271,61 @@
   return listJson(gateway, 0);
 }
 
+bool SoakDiscovery::holdsCalls(std::size_t gateway) const {
+  const SoakAgentMode mode = agents_[gateway].mode;
+  return mode == SoakAgentMode::silent || mode == SoakAgentMode::muted;
+}
+
 void SoakDiscovery::handle(std::size_t gateway, const std::shared_ptr<SoakListener::Connection>& connection,
                            const SoakRequest& request) {
+  if (agents_[gateway].mode == SoakAgentMode::failing)
+    return connection->reply(503, "", "");
+  if (agents_[gateway].mode == SoakAgentMode::invalid)
+    return connection->reply(200, "", kInvalidList);
   const std::string target = request.target().to_string();
   const auto number = [&](const char* name) -> std::int64_t {
     const std::size_t at = target.find(name);
     return at == std::string::npos ? 0 : std::stoll(target.substr(at + std::string(name).size()));
   };
-  PendingWatch watch{connection, number("since="), nullptr};
+  const PendingWatch watch{connection, number("since="), nullptr};
   const auto wait = std::chrono::milliseconds(number("timeout_ms="));
-  if (!agents_[gateway].silent && (wait == 0ms || watch.since < version_))
+  if (!holdsCalls(gateway) && (wait == 0ms || watch.since < version_))
     return respond(gateway, watch);
+  hold(gateway, watch, wait);
+}
+
+void SoakDiscovery::hold(std::size_t gateway, PendingWatch watch, std::chrono::milliseconds wait) {
   watch.timer = std::make_shared<asio::steady_timer>(io_, wait);
-  watch.timer->async_wait([this, gateway, connection](error_code ec) {
+  watch.timer->async_wait([this, gateway, connection = watch.connection](error_code ec) {
     auto& watches = agents_[gateway].pendingWatches;
     const auto it = std::ranges::find(watches, connection, &PendingWatch::connection);
-    if (ec || it == watches.end() || agents_[gateway].silent)
+    if (ec || it == watches.end() || holdsCalls(gateway))
       return;
     const PendingWatch due = *it;
     watches.erase(it);
     respond(gateway, due);
   });
-  agents_[gateway].pendingWatches.push_back(watch);
+  agents_[gateway].pendingWatches.push_back(std::move(watch));
 }
 
 void SoakDiscovery::respond(std::size_t gateway, const PendingWatch& watch) {
-  watch.connection->reply(200, "", listJson(gateway, watch.since));
+  if (agents_[gateway].mode != SoakAgentMode::late)
+    return write(gateway, watch);
+  const auto timer = std::make_shared<asio::steady_timer>(io_, agents_[gateway].delay);
+  timer->async_wait([this, timer, gateway, watch](error_code ec) {
+    if (!ec)
+      write(gateway, watch);
+  });
+}
+
+void SoakDiscovery::write(std::size_t gateway, const PendingWatch& watch) {
+  if (watch.connection->isOpen())
+    watch.connection->reply(200, "", listJson(gateway, watch.since));
 }
 
 void SoakDiscovery::respondToPendingWatches(std::size_t gateway) {
   Agent& agent = agents_[gateway];
-  if (agent.silent)
+  if (holdsCalls(gateway))
     return;
   for (const PendingWatch& watch : std::exchange(agent.pendingWatches, {}))
     if (watch.since < version_ || watch.timer->expiry() <= std::chrono::steady_clock::now())
@@ -251,6 +359,15 @@
   return nlohmann::json{{"rev", version_}, {"all", since == 0}, {"targets", targets}}.dump();
 }
 
+// --- Crowd -----------------------------------------------------------------------------------------------
+
+void SoakCrowd::arrive(const tcp::endpoint& gateway, std::size_t connections) {
+  for (std::size_t i = 0; i < connections; ++i) {
+    sockets_.push_back(std::make_shared<tcp::socket>(io_));
+    sockets_.back()->async_connect(gateway, [socket = sockets_.back()](error_code) {});
+  }
+}
+
 // --- Clients ---------------------------------------------------------------------------------------------
 
 class SoakClients::Client : public std::enable_shared_from_this<Client> {
@@ -330,7 +447,7 @@
   void connectionLost() {
     closeSocket(socket_, false);
     if (!reused_ || parser_->got_some())
-      return clients_.oracle_.closedUnanswered(call_.id, soakNow());
+      return clients_.oracle_.closedUnanswered(call_.id, soakNow(), !reused_);
     const auto retry = std::make_shared<Client>(clients_, gateway_);
     retry->retried_ = true;
     call_.disconnect = SoakDisconnect::none;
@@ -353,18 +470,20 @@
 
 SoakClients::~SoakClients() = default;
 
-void SoakClients::send(const tcp::endpoint& gateway, SoakCall call) {
+void SoakClients::sendOnOpenConnection(SoakCall call) {
   auto& idle = idleClients_.at(call.gateway);
-  std::shared_ptr<Client> client;
-  const bool newConnection =
-      call.disconnect != SoakDisconnect::none || idle.empty() || std::hash<std::string>{}(call.id) % 2;
-  if (newConnection) {
-    client = std::make_shared<Client>(*this, gateway);
-  } else {
-    client = idle.back();
-    idle.pop_back();
-  }
+  const std::shared_ptr<Client> client = idle.back();
+  idle.pop_back();
   client->start(std::move(call));
 }
 
+void SoakClients::send(const tcp::endpoint& gateway, SoakCall call) {
+  const bool newConnection = call.disconnect != SoakDisconnect::none || !hasOpenConnection(call.gateway) ||
+                             std::hash<std::string>{}(call.id) % 2;
+  if (newConnection)
+    std::make_shared<Client>(*this, gateway)->start(std::move(call));
+  else
+    sendOnOpenConnection(std::move(call));
+}
+
 }  // namespace hollyrun::lab
--- a/src/lab/soak/peers.hpp
+++ b/src/lab/soak/peers.hpp
@@ -35,9 +35,15 @@
 
   boost::asio::ip::tcp::endpoint endpoint() const { return endpoint_; }
   void closeAll(bool reset);  ///< closes the open connections; new ones are still accepted
+  void stopAccepting() { acceptor_.close(); }
+  /// Closes the open connections and refuses new ones from now on. The port stays reserved.
+  void refuse();
+  /// Accepts connections again after refuse().
+  void listen();
 
  private:
   void accept();
+  boost::asio::ip::tcp::socket portReservation_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::ip::tcp::endpoint endpoint_;
   Handle handle_;
@@ -50,6 +56,7 @@
   void read();
   void reply(unsigned status, const std::string& headers, const std::string& body);
   void close(bool reset);
+  bool isOpen() const;
 
  private:
   struct State;
@@ -77,6 +84,17 @@
   SoakListener listener_;
 };
 
+/// How an agent of discovery treats calls.
+enum class SoakAgentMode : std::uint8_t {
+  answering,
+  silent,    ///< answers the calls that it got meanwhile once it answers again
+  muted,     ///< the same, but never answers the calls that it got meanwhile
+  refusing,  ///< resets its connections and refuses new ones
+  failing,   ///< answers with status 503
+  invalid,   ///< answers with something that is not a list
+  late       ///< answers each call after a delay
+};
+
 /// Discovery: one endpoint list, served to each gateway by an agent of its own.
 class SoakDiscovery {
  public:
@@ -87,8 +105,12 @@
   void add(std::size_t server, const boost::asio::ip::tcp::endpoint& endpoint);
   void setState(std::size_t server, State state, std::int64_t bootMs);
   boost::asio::ip::tcp::endpoint agent(std::size_t gateway) const;
-  /// While silent, the agent of the gateway withholds all responses.
-  void setSilent(std::size_t gateway, bool silent);
+  std::size_t agents() const { return agents_.size(); }
+  /// `delay` is the time until an answer in the mode `late`.
+  void setMode(std::size_t gateway, SoakAgentMode mode, SoakTime delay = {});
+  /// Moves the agent to a new address, as before a SIGHUP of its gateway. The former address takes no new
+  /// connections and closes its open ones after a while.
+  void move(std::size_t gateway);
   void closeWatches(std::size_t gateway);
   /// Returns the full list as discovery's JSON, for the configuration of a new process. Its contents count as
   /// announced to the gateway.
@@ -107,13 +129,20 @@
   };
   struct Agent {
     std::unique_ptr<SoakListener> listener;
+    std::vector<std::unique_ptr<SoakListener>> formerListeners;
     std::vector<PendingWatch> pendingWatches;
-    bool silent = false;
+    SoakAgentMode mode = SoakAgentMode::answering;
+    SoakTime delay{};          ///< until an answer in the mode `late`
+    SoakTime announcesFrom{};  ///< after a move, changes count from this time on
   };
 
+  std::unique_ptr<SoakListener> newListener(std::size_t gateway);
   void handle(std::size_t gateway, const std::shared_ptr<SoakListener::Connection>& connection,
               const SoakRequest& request);
+  bool holdsCalls(std::size_t gateway) const;
+  void hold(std::size_t gateway, PendingWatch watch, std::chrono::milliseconds wait);
   void respond(std::size_t gateway, const PendingWatch& watch);
+  void write(std::size_t gateway, const PendingWatch& watch);
   void respondToPendingWatches(std::size_t gateway);
   std::string listJson(std::size_t gateway, std::int64_t since);
 
@@ -124,6 +153,18 @@
   std::vector<Agent> agents_;
 };
 
+/// Idle connections that fill the descriptors of a gateway.
+class SoakCrowd {
+ public:
+  explicit SoakCrowd(boost::asio::io_context& io) : io_(io) {}
+  void arrive(const boost::asio::ip::tcp::endpoint& gateway, std::size_t connections);
+  void leave() { sockets_.clear(); }
+
+ private:
+  boost::asio::io_context& io_;
+  std::vector<std::shared_ptr<boost::asio::ip::tcp::socket>> sockets_;
+};
+
 /// How a client disconnects before its response.
 enum class SoakDisconnect { none, close, halfClose, reset };
 
@@ -145,6 +186,9 @@
   ~SoakClients();
   /// Returns at once; the outcome is reported to the oracle.
   void send(const boost::asio::ip::tcp::endpoint& gateway, SoakCall call);
+  /// The same on a connection that is open already; there has to be one.
+  void sendOnOpenConnection(SoakCall call);
+  bool hasOpenConnection(std::size_t gateway) const { return !idleClients_.at(gateway).empty(); }
   std::size_t inFlight() const { return inFlight_; }
 
  private:
--- a/src/lab/soak/soak.cpp
+++ b/src/lab/soak/soak.cpp
@@ -36,6 +36,15 @@
 constexpr auto kReadyTimeout = 10s;
 constexpr auto kTerminationTimeout = 8s;  // from SIGTERM to the exit of the process
 constexpr auto kClientTimeout = 1000ms;
+// The platform's earliest SIGKILL after SIGTERM: the longest deadline of the deployment plus 0.7 s.
+constexpr auto kEarliestKill = kClientTimeout + 700ms;
+constexpr auto kSignalInterval = 100ms;  // between the signals of a series
+constexpr std::size_t kCrowdSize = 200;  // more than a gateway may accept
+constexpr auto kMaxDrainBeforeReturn = 500ms;
+constexpr auto kDrainAfterReturn = 2000ms;
+constexpr std::chrono::milliseconds kLateAnswers[] = {200ms, 600ms, 1200ms, 2500ms};
+// Time limit of the settings without a call of discovery, by seed; 0: none.
+constexpr std::chrono::milliseconds kAskWithin[] = {4000ms, 500ms, 10000ms, 0ms, 60000ms};
 constexpr auto kCompletionTime = 2500ms;  // between the last request and the final check
 constexpr auto kFinalCheckTime = 2500ms;  // for the requests of the final check
 constexpr auto kUsagePollInterval = 500ms;
@@ -89,7 +98,8 @@
     std::unique_ptr<FaultFile> faults;
     std::shared_ptr<Process> process;
     std::string directory;
-    bool ready = false, stopped = false;
+    std::unique_ptr<SoakCrowd> crowd;
+    bool ready = false, stopped = false, terminating = false;
     SoakTime startedAt{}, stoppedAt{}, termSentAt{};
   };
 
@@ -111,6 +121,12 @@
   void injectCallFault(Gateway& gateway, FaultyCall call, std::uint32_t oneIn, int error,
                        std::uint32_t maxBytes = 0);
   void signal(std::size_t number, int signal);
+  void terminate(std::size_t number, bool killsAtEarliest);
+  void killAfterTerm(std::size_t number, const std::shared_ptr<Process>& terminated);
+  void reload(std::size_t number, bool movesDiscovery);
+  void signalInSeries(std::size_t number, std::uint64_t variant);
+  void beginOutage(const SoakFault& soakFault);
+  void endOutage(const SoakFault& soakFault);
   void resume(std::size_t number);
   void schedule(std::chrono::milliseconds delay, std::function<void()> action);
   void finalCheck();
@@ -201,7 +217,7 @@
                            {"idleCloseNs", 5'000'000'000},
                            {"maxRetryAfterNs", 1'000'000'000}}},
                          {"rules",
-                          {{"askWithinNs", 4'000'000'000},
+                          {{"askWithinNs", SoakTime(kAskWithin[plan_.seed % std::size(kAskWithin)]).count()},
                            {"coldNs", std::chrono::nanoseconds(kSlowStartTime).count()},
                            {"coldShare", kSlowStartShare},
                            {"fallMultiple", kFallMultiple},
@@ -215,7 +231,7 @@
 void Soak::startGateway(std::size_t number) {
   Gateway& gateway = gateways_[number];
   writeConfig(number, true);
-  gateway.ready = gateway.stopped = false;
+  gateway.ready = gateway.stopped = gateway.terminating = false;
   gateway.termSentAt = {};
   gateway.startedAt = soakNow();
   gateway.process = std::make_shared<Process>(io_, "g" + std::to_string(number));
@@ -349,7 +365,10 @@
     return;
   SoakCall call = drawCall();
   call.gateway = random_() % gateways_.size();
-  if (gateways_[call.gateway].ready || random_() % 4 == 0)
+  // After SIGTERM clients go on to use the connections that are open.
+  if (gateways_[call.gateway].terminating && clients_.hasOpenConnection(call.gateway))
+    clients_.sendOnOpenConnection(std::move(call));
+  else if (gateways_[call.gateway].ready || random_() % 4 == 0)
     clients_.send(gateways_[call.gateway].port->endpoint(), std::move(call));
   const double uniform = static_cast<double>((random_() >> 11) + 1) * 0x1.0p-53;
   arrivals_.expires_after(
@@ -366,6 +385,92 @@
   gateways_[number].process->send(signal);
 }
 
+void Soak::terminate(std::size_t number, bool killsAtEarliest) {
+  Gateway& gateway = gateways_[number];
+  gateway.process->stopRequested = true;
+  gateway.ready = false;
+  gateway.terminating = true;
+  gateway.termSentAt = soakNow();
+  signal(number, SIGTERM);
+  if (killsAtEarliest)
+    schedule(kEarliestKill,
+             [this, number, terminated = gateway.process] { killAfterTerm(number, terminated); });
+}
+
+void Soak::killAfterTerm(std::size_t number, const std::shared_ptr<Process>& terminated) {
+  const Gateway& gateway = gateways_[number];
+  if (gateway.process != terminated || terminated->ended)
+    return;
+  // The soak's own SIGSTOP is no part of the time that the platform gives.
+  const SoakTime earliest = gateway.termSentAt + kEarliestKill +
+                            oracle_.pausedDuring(number, gateway.termSentAt, soakNow()) +
+                            (gateway.stopped ? soakNow() - gateway.stoppedAt : SoakTime{});
+  if (gateway.stopped || soakNow() < earliest)
+    return schedule(kProcessPollInterval, [this, number, terminated] { killAfterTerm(number, terminated); });
+  oracle_.gatewayKilledAfterTerm(number, soakNow());
+  signal(number, SIGKILL);
+}
+
+void Soak::reload(std::size_t number, bool movesDiscovery) {
+  if (movesDiscovery)
+    discovery_.move(number);
+  writeConfig(number, true);
+  signal(number, SIGHUP);
+}
+
+void Soak::signalInSeries(std::size_t number, std::uint64_t variant) {
+  const std::shared_ptr<Process> process = gateways_[number].process;
+  const auto later = [&](std::chrono::milliseconds delay, std::function<void()> action) {
+    schedule(delay, [process, action = std::move(action)] {
+      if (!process->ended)
+        action();
+    });
+  };
+  const auto terminateLater = [&](std::chrono::milliseconds delay) {
+    later(delay, [this, number] {
+      if (!gateways_[number].terminating)
+        terminate(number, true);
+    });
+  };
+  switch (variant % 4) {
+    case 0:  // three configurations, each of which moves discovery
+      reload(number, true);
+      later(kSignalInterval, [this, number] { reload(number, true); });
+      return later(2 * kSignalInterval, [this, number] { reload(number, true); });
+    case 1:  // the process may see one signal for both
+      reload(number, true);
+      return reload(number, true);
+    case 2:
+      reload(number, true);
+      return terminateLater(kSignalInterval);
+    default:
+      terminate(number, true);
+      return later(kSignalInterval, [this, number] { reload(number, true); });
+  }
+}
+
+// A server begins to drain while no gateway can reach discovery, so that the drain counts with its return.
+void Soak::beginOutage(const SoakFault& soakFault) {
+  static constexpr SoakAgentMode kModes[] = {SoakAgentMode::silent, SoakAgentMode::muted,
+                                             SoakAgentMode::refusing, SoakAgentMode::failing,
+                                             SoakAgentMode::invalid};
+  const SoakAgentMode mode = kModes[soakFault.randomValue % std::size(kModes)];
+  for (std::size_t i = 0; i < discovery_.agents(); ++i)
+    discovery_.setMode(i, mode);
+  const auto drainBefore = std::min<std::chrono::milliseconds>(
+      std::chrono::milliseconds(soakFault.randomValue / std::size(kModes) % kMaxDrainBeforeReturn.count()),
+      soakFault.duration);
+  SoakFault drain = soakFault;
+  drain.kind = SoakFaultKind::serverDrain;
+  schedule(soakFault.duration - drainBefore, [this, drain] { inject(drain); });
+  schedule(soakFault.duration + kDrainAfterReturn, [this, drain] { revert(drain); });
+}
+
+void Soak::endOutage(const SoakFault&) {
+  for (std::size_t i = 0; i < discovery_.agents(); ++i)
+    discovery_.setMode(i, SoakAgentMode::answering);
+}
+
 void Soak::resume(std::size_t number) {
   Gateway& gateway = gateways_[number];
   if (!std::exchange(gateway.stopped, false))
@@ -393,6 +498,8 @@
 void Soak::inject(const SoakFault& soakFault) {
   if (soakFault.kind == SoakFaultKind::clientsLeave)
     clientsDisconnect_ = true;
+  else if (soakFault.kind == SoakFaultKind::discoveryOutage)
+    beginOutage(soakFault);
   else if (soakFault.kind >= SoakFaultKind::serverDrain && soakFault.kind <= SoakFaultKind::serverRefuse)
     injectAtServer(soakFault, soakFault.target % servers_.size());
   else
@@ -405,10 +512,9 @@
     return;
   switch (soakFault.kind) {
     case SoakFaultKind::gatewayTerm:
-      gateway.process->stopRequested = true;
-      gateway.ready = false;
-      gateway.termSentAt = soakNow();
-      return signal(number, SIGTERM);
+      return terminate(number, soakFault.randomValue % 2 == 0);
+    case SoakFaultKind::signalSeries:
+      return signalInSeries(number, soakFault.randomValue);
     case SoakFaultKind::gatewayKill:
       gateway.process->stopRequested = true;
       gateway.ready = false;
@@ -421,9 +527,14 @@
       gateway.stoppedAt = soakNow();
       return signal(number, SIGSTOP);
     case SoakFaultKind::gatewayReload:
+      return reload(number, soakFault.randomValue % 2 == 0);
     case SoakFaultKind::gatewayBadReload:
-      writeConfig(number, soakFault.kind == SoakFaultKind::gatewayReload);
+      writeConfig(number, false);
       return signal(number, SIGHUP);
+    case SoakFaultKind::idleCrowd:
+      oracle_.crowdArrived(number);
+      gateway.crowd = std::make_unique<SoakCrowd>(io_);
+      return gateway.crowd->arrive(gateway.port->endpoint(), kCrowdSize);
     case SoakFaultKind::clockStep: {
       static constexpr SoakTime kSteps[] = {-3600s, -5s, 5s, 3600s};
       (*gateway.faults)->wallClockOffsetNs = kSteps[soakFault.randomValue % std::size(kSteps)].count();
@@ -448,7 +559,16 @@
                              kErrors[soakFault.randomValue % std::size(kErrors)]);
     }
     case SoakFaultKind::discoverySilent:
-      return discovery_.setSilent(number, true);
+      return discovery_.setMode(
+          number, soakFault.randomValue % 2 == 0 ? SoakAgentMode::silent : SoakAgentMode::muted);
+    case SoakFaultKind::discoveryRefuses:
+      return discovery_.setMode(number, SoakAgentMode::refusing);
+    case SoakFaultKind::discoveryFails:
+      return discovery_.setMode(
+          number, soakFault.randomValue % 2 == 0 ? SoakAgentMode::failing : SoakAgentMode::invalid);
+    case SoakFaultKind::discoveryLate:
+      return discovery_.setMode(number, SoakAgentMode::late,
+                                kLateAnswers[soakFault.randomValue % std::size(kLateAnswers)]);
     case SoakFaultKind::discoveryClosed:
       return discovery_.closeWatches(number);
     default:
@@ -477,6 +597,8 @@
 void Soak::revert(const SoakFault& soakFault) {
   if (soakFault.kind == SoakFaultKind::clientsLeave)
     clientsDisconnect_ = false;
+  else if (soakFault.kind == SoakFaultKind::discoveryOutage)
+    endOutage(soakFault);
   else if (soakFault.kind >= SoakFaultKind::serverDrain && soakFault.kind <= SoakFaultKind::serverRefuse)
     revertAtServer(soakFault, soakFault.target % servers_.size());
   else
@@ -495,7 +617,19 @@
       (*gateway.faults)->wallClockOffsetNs = 0;
       return;
     case SoakFaultKind::discoverySilent:
-      return discovery_.setSilent(number, false);
+    case SoakFaultKind::discoveryRefuses:
+    case SoakFaultKind::discoveryFails:
+    case SoakFaultKind::discoveryLate:
+      return discovery_.setMode(number, SoakAgentMode::answering);
+    case SoakFaultKind::idleCrowd:
+      gateway.crowd.reset();
+      // Connections that the gateway closed for the crowd may still be on their way to their clients.
+      return schedule(kMaxLoopDelay, [this, number] { oracle_.crowdLeft(number); });
+    case SoakFaultKind::gatewayTerm:
+    case SoakFaultKind::signalSeries:
+    case SoakFaultKind::gatewayReload:
+    case SoakFaultKind::discoveryClosed:
+      return;
     default:
       for (CallFault& callFault : (*gateway.faults)->calls)
         callFault.oneIn = 0;
