--- a/src/lab/soak/soak.cpp
+++ b/src/lab/soak/soak.cpp
@@ -299,6 +299,7 @@
 void Soak::processEnded(std::size_t number, int status) {
   Process& process = *gateways_[number].process;
   process.ended = true;
+  oracle_.gatewayEnded(number, soakNow());
   const bool expected = process.stopRequested && (!WIFEXITED(status) || WEXITSTATUS(status) == 0) &&
                         (!WIFSIGNALED(status) || WTERMSIG(status) == SIGKILL || WTERMSIG(status) == SIGTERM);
   if (!expected)
@@ -518,7 +519,7 @@
     case SoakFaultKind::gatewayKill:
       gateway.process->stopRequested = true;
       gateway.ready = false;
-      oracle_.gatewayKilled(number, soakNow());
+      oracle_.gatewayKilled(number);
       return signal(number, SIGKILL);
     case SoakFaultKind::gatewayPause:
     case SoakFaultKind::gatewayStop:
