Discovery: a failed call is repeated within 0.3 s, an unanswered one gets a second

Cause: a failed call was repeated after an exponential backoff, bounded by a fifth of ask_within times 1.5: up to 3 s with 10 s, 12 s with none. What discovery's agent has counts whether or not a call is open, and the grace is 1 s, so a drain at the return of discovery came too late. The same class: a call whose connection never came up, an answer later than 1 s (given up each time, so never heard; with a short ask_within the module restarted the call even sooner), a delayed call that restarted the one to an address just moved to, an older version that waited for a backoff before the whole list.

Change: Discovery keeps the watch itself: failed calls are repeated after 100 to 300 ms (50 to 150 ms after local errors), however many failed and whatever ask_within says; connections have 250 ms; an unanswered call gets a second one after 400 ms, replaced as often, while the first is kept for 5 s; long polls that end at once without news are 100 ms apart. The module asks for the watch once; its own poller, which the simulator uses, is unchanged. Works because two delays and a failed connection fit into the grace less 0.15 s. scale_test no longer restarts the client by hand; it still wants each failure and each list. gateway_test's bound on the delay after a lost watch is kept and a stricter one, without the grace, added.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <limits>
 #include <utility>
 
+#include "gateway/endpoint_text.hpp"
 #include "gateway/request_metrics.hpp"
 
 namespace hollyrun::gateway {
@@ -37,6 +39,11 @@
       .descriptors = config.sockets, .maxDownstream = limits.connections, .bodyBytes = maxBodyBytes(config)};
 }
 
+// Differs between gateways even where their configurations have the same seed.
+std::uint64_t discoverySeed(const Config& config) {
+  return config.balancer.seed ^ std::hash<std::string>{}(config.name + textOf(config.listen));
+}
+
 }  // namespace
 
 Gateway::Gateway(asio::io_context& io, const Config& config, Options options, Log& log)
@@ -47,7 +54,7 @@
       upstream_(io, upstreamLimits(config), *this, memory_),
       discoveryMonitor_(log),
       endpoints_(state_, upstream_, discoveryMonitor_),
-      discovery_(io, config.discovery, discoveryCallbacks(), options.discovery),
+      discovery_(io, config.discovery, discoveryCallbacks(), options.discovery, discoverySeed(config)),
       admission_(state_, endpoints_, downstream_),
       completion_(state_, downstream_),
       actions_(io, state_, endpoints_, admission_, completion_, {upstream_, downstream_, discovery_, log}),
@@ -115,13 +122,9 @@
 Discovery::Callbacks Gateway::discoveryCallbacks() {
   return {
       .onEndpoints =
-          [this](const EndpointList& list) {
-            applyEndpointList(list, list.snapshot ? EndpointListKind::snapshot : EndpointListKind::delta);
-          },
-      .onFailure =
-          [this] {
-            state_.balancer.onEndpoints(state_.clock.now(), EndpointListKind::unavailable, {});
-            actions_.executePending();
+          [this](const EndpointUpdate& update) {
+            applyEndpointList(update.list,
+                              update.list.snapshot ? EndpointListKind::snapshot : EndpointListKind::delta);
           },
       .onCallEnded = [this](const DiscoveryCallReport& report) { discoveryMonitor_.recordCallEnd(report); }};
 }
@@ -142,7 +145,7 @@
   actions_.executePending();
 }
 
-// The balancer begins to poll discovery when it receives its first list, even an empty one.
+// The balancer requests the watch of discovery when it receives its first list, even an empty one.
 void Gateway::applyCachedEndpoints(const Config& config) {
   if (config.cachedEndpoints)
     discovery_.setKnownVersion(config.cachedEndpoints->version);
--- a/src/lab/soak/peers.cpp
+++ b/src/lab/soak/peers.cpp
@@ -223,7 +223,9 @@
     agent.listener->listen();
   if (former == SoakAgentMode::muted)
     agent.pendingWatches.clear();
-  if (mode == SoakAgentMode::failing || mode == SoakAgentMode::invalid)
+  const bool endsWatches =
+      mode == SoakAgentMode::failing || mode == SoakAgentMode::invalid || mode == SoakAgentMode::muted;
+  if (endsWatches)
     closeWatches(gateway);
   if (mode == SoakAgentMode::refusing) {
     agent.pendingWatches.clear();
--- a/src/lab/soak/peers.hpp
+++ b/src/lab/soak/peers.hpp
@@ -88,10 +88,10 @@
 enum class SoakAgentMode : std::uint8_t {
   answering,
   silent,    ///< answers the calls that it got meanwhile once it answers again
-  muted,     ///< the same, but never answers the calls that it got meanwhile
+  muted,     ///< closes its watches, and never answers the calls that it gets meanwhile
   refusing,  ///< resets its connections and refuses new ones
-  failing,   ///< answers with status 503
-  invalid,   ///< answers with something that is not a list
+  failing,   ///< closes its watches, and answers with status 503
+  invalid,   ///< closes its watches, and answers with something that is not a list
   late       ///< answers each call after a delay
 };
 
--- a/src/lab/testbed/stub_gateway.cpp
+++ b/src/lab/testbed/stub_gateway.cpp
@@ -21,6 +21,7 @@
 using boost::system::error_code;
 using gateway::Config;
 using gateway::EndpointList;
+using gateway::EndpointUpdate;
 using Clock = std::chrono::steady_clock;
 
 namespace {
@@ -36,10 +37,9 @@
     : config_(configOf(plan, number)),
       log_(config_.name, config_.log),
       balancer_(config_.balancer, now()),
-      discovery_(
-          io, config_.discovery,
-          {[this](const EndpointList& list) { onEndpointList(list); }, [this] { onDiscoveryUnavailable(); }},
-          {}),
+      discovery_(io, config_.discovery,
+                 {[this](const EndpointUpdate& update) { onEndpointList(update.list); }}, {},
+                 config_.balancer.seed),
       wakeTimer_(io),
       onChanged_(std::move(onChanged)) {
   if (config_.membership)
@@ -93,11 +93,6 @@
   onChanged_();
 }
 
-void StubGateway::onDiscoveryUnavailable() {
-  balancer_.onEndpoints(now(), EndpointListKind::unavailable, {});
-  executeActions();
-}
-
 // Divides the limits of the whole fleet by its number of members, as a gateway does.
 void StubGateway::updateReplicaCount() {
   const std::uint32_t size =
--- a/src/lab/testbed/stub_gateway.hpp
+++ b/src/lab/testbed/stub_gateway.hpp
@@ -44,7 +44,6 @@
   static balancer::Time now();
 
   void onEndpointList(const gateway::EndpointList& list);
-  void onDiscoveryUnavailable();
   void updateReplicaCount();
   void executeActions();
   void scheduleWake(balancer::Time at);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -539,8 +539,9 @@
 }
 
 TEST_F(GatewayTest, ALostWatchIsRestartedBeforeTheDrainGracePeriodEnds) {
-  // The backoff is that of the balancer after one failure.
-  const std::chrono::milliseconds drainNotice{2000}, gracePeriod{1000}, backoff{1500};
+  // The backoff is the longest delay before a failed call is repeated.
+  const std::chrono::milliseconds drainNotice{2000}, gracePeriod{1000}, backoff{300};
+  EXPECT_LT(Discovery::Timeouts{}.answer + backoff, drainNotice);
   EXPECT_LE(Discovery::Timeouts{}.answer + backoff, drainNotice + gracePeriod);
 }
 
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -201,9 +201,15 @@
   StubDiscoveryTest() : discovery(io, listed(30)) {
     address = discovery.addAddress();
     client.emplace(io, discovery.endpoint(address),
-                   Discovery::Callbacks{[this](const EndpointList& list) { lists.push_back(list); },
-                                        [this] { ++failures; }},
-                   Discovery::Timeouts{});
+                   Discovery::Callbacks{
+                       [this](const gateway::EndpointUpdate& update) { lists.push_back(update.list); },
+                       [this](const gateway::DiscoveryCallReport& report) { countFailure(report.result); }},
+                   Discovery::Timeouts{}, 1);
+  }
+
+  void countFailure(gateway::DiscoveryCallResult result) {
+    if (result != gateway::DiscoveryCallResult::list && result != gateway::DiscoveryCallResult::abandoned)
+      ++failures;
   }
 
   asio::io_context io;
@@ -239,19 +245,17 @@
   ASSERT_TRUE(runUntil(io, [&] { return lists.size() == 1; }));
   discovery.suspend();
   ASSERT_TRUE(runUntil(io, [&] { return failures == 1; }));
-  client->watch();
   ASSERT_TRUE(runUntil(io, [&] { return failures == 2; }))
       << "expected the connection to be refused while discovery is suspended";
   const std::int64_t revision = discovery.toggleDraining(1);
   discovery.resume(false);
-  client->watch();
   ASSERT_TRUE(runUntil(io, [&] { return lists.size() == 2; }));
   EXPECT_FALSE(lists[1].snapshot);
   EXPECT_EQ(lists[1].version, revision);
+  const std::size_t failuresBefore = failures;
   discovery.suspend();
-  ASSERT_TRUE(runUntil(io, [&] { return failures == 3; }));
+  ASSERT_TRUE(runUntil(io, [&] { return failures == failuresBefore + 1; }));
   discovery.resume(true);
-  client->watch();
   ASSERT_TRUE(runUntil(io, [&] { return lists.size() == 3; }));
   EXPECT_TRUE(lists[2].snapshot);
   EXPECT_EQ(lists[2].endpoints.size(), 30u);
