A drain that was announced in a gap of the watch counts from the last answer before it

A request whose attempt was still connecting when discovery returned could be sent to a host that had begun to drain in the outage: the dispatch guard allows half a second after a drain, counted from the moment at which this process learned of it.

Cause: EndpointTable took the time of the list's arrival as the start of the drain. Between two long polls that is right; after a gap the drain may have been announced any time since.

Change: a list brings the earliest time at which its changes may have been announced: now for an open watch, the last answer for one that was interrupted.

Evidence: AttemptThatConnectsThroughAnOutageIsNotSentToAHostThatDrainedInIt failed without the change (the draining host answered 200) and passed three times of three with it.

--- a/src/balancer/dispatch_guard.hpp
+++ b/src/balancer/dispatch_guard.hpp
@@ -46,7 +46,7 @@
   std::string zone;
   std::int64_t cell = 0;
   EndpointState state = EndpointState::serving;
-  Time stateSince{};  ///< when a list first named this process as not serving
+  Time stateSince{};  ///< earliest time at which its not serving may have been announced
   Time upSince{};     ///< latest start of the host's process; zero = long ago
 };
 
--- a/src/gateway/balancer_clock.hpp
+++ b/src/gateway/balancer_clock.hpp
@@ -12,7 +12,8 @@
  public:
   using Steady = std::chrono::steady_clock;
 
-  balancer::Time now() const { return kTimeAtStart + (Steady::now() - startedAt_); }
+  balancer::Time now() const { return toBalancer(Steady::now()); }
+  balancer::Time toBalancer(Steady::time_point time) const { return kTimeAtStart + (time - startedAt_); }
   Steady::time_point toSteady(balancer::Time time) const { return startedAt_ + (time - kTimeAtStart); }
   /// Reads the monotonic and the wall clock together.
   ServerStartTimes::Clocks readClocks() const {
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -15,7 +15,8 @@
 EndpointTable::EndpointTable(GatewayState& state, UpstreamPool& upstream, DiscoveryMonitor& monitor)
     : state_(state), upstream_(upstream), monitor_(monitor), startTimes_(state.clock.readClocks()) {}
 
-void EndpointTable::applyEndpointList(const EndpointList& list, EndpointListKind kind) {
+void EndpointTable::applyEndpointList(const EndpointList& list, EndpointListKind kind,
+                                      balancer::Time changedSince) {
   const std::vector<EndpointState> previousStates = currentStates();
   const std::vector<Endpoint> endpoints = convert(list, kind);
   state_.balancer.onEndpoints(state_.clock.now(), kind, endpoints);
@@ -23,11 +24,11 @@
   // removed before the listed ones are updated.
   if (kind != EndpointListKind::delta)
     for (EndpointStatus& status : statuses_)
-      takeOutOfService(status, EndpointState::removed);
+      takeOutOfService(status, EndpointState::removed, changedSince);
   for (std::size_t i = 0; i < list.endpoints.size(); ++i) {
     const ListedEndpoint& listed = list.endpoints[i];
     const HostId id = state_.balancer.findHost(listed.uid);
-    updateEndpoint(id, endpoints[i]);
+    updateEndpoint(id, endpoints[i], changedSince);
     if (listed.address.port() != 0)
       upstream_.setEndpoint(id, listed.address);
     if (listed.state != EndpointState::serving)
@@ -82,14 +83,15 @@
   return endpoints;
 }
 
-// A drain starts when this process first learns of it.
-void EndpointTable::takeOutOfService(EndpointStatus& status, EndpointState state) {
+// After a gap in the watch, a drain may have been announced long before this process learned of it. Counted
+// from now, an attempt that is still connecting would be sent later than the grace.
+void EndpointTable::takeOutOfService(EndpointStatus& status, EndpointState state, balancer::Time since) {
   if (status.state == EndpointState::serving)
-    status.stateSince = state_.clock.now();
+    status.stateSince = since;
   status.state = state;
 }
 
-void EndpointTable::updateEndpoint(HostId id, const Endpoint& endpoint) {
+void EndpointTable::updateEndpoint(HostId id, const Endpoint& endpoint, balancer::Time changedSince) {
   if (statuses_.size() <= id)
     statuses_.resize(id + std::size_t{1});
   EndpointStatus& status = statuses_[id];
@@ -100,7 +102,7 @@
   if (endpoint.state == EndpointState::serving)
     status.state = EndpointState::serving;
   else
-    takeOutOfService(status, endpoint.state);
+    takeOutOfService(status, endpoint.state, changedSince);
 }
 
 }  // namespace hollyrun::gateway
--- a/src/gateway/endpoint_table.hpp
+++ b/src/gateway/endpoint_table.hpp
@@ -17,8 +17,10 @@
  public:
   EndpointTable(GatewayState& state, UpstreamPool& upstream, DiscoveryMonitor& monitor);
 
-  /// Applies a list to the balancer first, then to the statuses and the pool.
-  void applyEndpointList(const EndpointList& list, balancer::EndpointListKind kind);
+  /// Applies a list to the balancer first, then to the statuses and the pool. `changedSince` is the earliest
+  /// time at which its changes may have been announced to this gateway.
+  void applyEndpointList(const EndpointList& list, balancer::EndpointListKind kind,
+                         balancer::Time changedSince);
 
   /// Throws std::out_of_range if no list has ever named this host.
   const balancer::EndpointStatus& status(balancer::HostId host) const { return statuses_.at(host); }
@@ -27,8 +29,9 @@
 
  private:
   std::vector<balancer::Endpoint> convert(const EndpointList& list, balancer::EndpointListKind kind);
-  void updateEndpoint(balancer::HostId id, const balancer::Endpoint& endpoint);
-  void takeOutOfService(balancer::EndpointStatus& status, balancer::EndpointState state);
+  void updateEndpoint(balancer::HostId id, const balancer::Endpoint& endpoint, balancer::Time changedSince);
+  static void takeOutOfService(balancer::EndpointStatus& status, balancer::EndpointState state,
+                               balancer::Time since);
 
   std::vector<balancer::EndpointState> currentStates() const;
   void reportStateChanges(const std::vector<balancer::EndpointState>& previous,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -124,7 +124,8 @@
       .onEndpoints =
           [this](const EndpointUpdate& update) {
             applyEndpointList(update.list,
-                              update.list.snapshot ? EndpointListKind::snapshot : EndpointListKind::delta);
+                              update.list.snapshot ? EndpointListKind::snapshot : EndpointListKind::delta,
+                              state_.clock.toBalancer(update.changedSince));
           },
       .onCallEnded = [this](const DiscoveryCallReport& report) { discoveryMonitor_.recordCallEnd(report); }};
 }
@@ -138,8 +139,9 @@
 
 // --- Endpoints ------------------------------------------------------------------------------------------
 
-void Gateway::applyEndpointList(const EndpointList& list, EndpointListKind kind) {
-  endpoints_.applyEndpointList(list, kind);
+void Gateway::applyEndpointList(const EndpointList& list, EndpointListKind kind,
+                                balancer::Time changedSince) {
+  endpoints_.applyEndpointList(list, kind, changedSince);
   if (kind != EndpointListKind::cached)
     process_.onDiscoveryAnswer();
   actions_.executePending();
@@ -150,7 +152,8 @@
   if (config.cachedEndpoints)
     discovery_.setKnownVersion(config.cachedEndpoints->version);
   const EndpointList empty{.version = 0, .snapshot = true, .endpoints = {}};
-  applyEndpointList(config.cachedEndpoints ? *config.cachedEndpoints : empty, EndpointListKind::cached);
+  applyEndpointList(config.cachedEndpoints ? *config.cachedEndpoints : empty, EndpointListKind::cached,
+                    state_.clock.now());
 }
 
 // --- Settings and fleet ---------------------------------------------------------------------------------
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -79,7 +79,8 @@
   Discovery::Callbacks discoveryCallbacks();
   Management::Callbacks managementCallbacks();
 
-  void applyEndpointList(const EndpointList& list, balancer::EndpointListKind kind);
+  void applyEndpointList(const EndpointList& list, balancer::EndpointListKind kind,
+                         balancer::Time changedSince);
   void applyCachedEndpoints(const Config& config);
   void applySettings(const balancer::Settings& settings);
   void joinFleet(const Config& config);
--- a/tests/discovery_crossings_test.cpp
+++ b/tests/discovery_crossings_test.cpp
@@ -158,6 +158,27 @@
   expectNoRequestAtDrainingHost();
 }
 
+TEST_F(DiscoveryOutageTest, AttemptThatConnectsThroughAnOutageIsNotSentToAHostThatDrainedInIt) {
+  disableTimeLimits();
+  addHost("a", always(ok()));
+  start();
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  hosts[0]->pause();
+  auto downstream = client();
+  downstream->send(text("read"));
+  const auto lostAt = Clock::now();
+  discovery.failing = true;
+  discovery.held[0]->reset();
+  discovery.held.clear();
+  // Longer than the half second in which an attempt may still start after its host begins to drain.
+  ASSERT_TRUE(runUntil(lostAt + 550ms));
+  recoverWithDrainingHost();
+  hosts[0]->resume();
+  ASSERT_TRUE(until([&] { return !downstream->answers.empty(); }));
+  EXPECT_EQ(downstream->answers.front().result_int(), 503u);
+  EXPECT_TRUE(reached.empty()) << "the drain was announced long before the list arrived";
+}
+
 TEST_F(DiscoveryOutageTest, DrainFromNewDiscoveryServerIsAppliedAfterReload) {
   FakeDiscovery other{io};
   startAndLoseDiscovery();
