A request that waited in the accept queue is not forwarded with its whole deadline

Cause: the time of a request counts from the read. Accept had failed with a shortage of this machine for up to a second, with the request waiting in the accept queue.

Change: the listener keeps since when accept has failed without all pending connections accepted; a connection that has bytes as it is accepted in or after such a stall counts its first request from then. It errs on the safe side: a request that had just come is refused as out of time rather than forwarded with too much.

--- a/src/gateway/downstream_connection.cpp
+++ b/src/gateway/downstream_connection.cpp
@@ -39,8 +39,11 @@
 
 }  // namespace
 
-DownstreamConnection::DownstreamConnection(DownstreamServer& server, tcp::socket socket)
+DownstreamConnection::DownstreamConnection(DownstreamServer& server, tcp::socket socket,
+                                           Clock::time_point queuedSince)
     : server_(server), socket_(std::move(socket)), buffer_(kHeaderLimit + 2 * kBodyReadSize) {
+  if (hasUnreadBytes(socket_))
+    firstRequestQueuedSince_ = queuedSince;
   resetForNextRequest();
 }
 
--- a/src/gateway/downstream_connection.hpp
+++ b/src/gateway/downstream_connection.hpp
@@ -34,7 +34,9 @@
  public:
   using Clock = std::chrono::steady_clock;
 
-  DownstreamConnection(DownstreamServer& server, boost::asio::ip::tcp::socket socket);
+  /// `queuedSince` is the earliest time at which the connection may have been established.
+  DownstreamConnection(DownstreamServer& server, boost::asio::ip::tcp::socket socket,
+                       Clock::time_point queuedSince);
 
   void start() { awaitReadable(); }
 
@@ -134,6 +136,8 @@
   std::shared_ptr<BodyStream> upload_;
   DownstreamRequestId requestId_ = 0;
   Clock::time_point lastReceivedAt_ = connectedAt_;
+  // If the first request waited in the accept queue, the earliest time at which it may have been sent.
+  std::optional<Clock::time_point> firstRequestQueuedSince_;
   Clock::time_point bodyStartedAt_;
   Clock::time_point uploadPausedAt_;
   std::size_t bodyBytes_ = 0;
--- a/src/gateway/downstream_listener.cpp
+++ b/src/gateway/downstream_listener.cpp
@@ -15,6 +15,7 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
+using Clock = std::chrono::steady_clock;
 
 // Delay before the next attempt to accept after file descriptors or buffers ran out.
 constexpr auto kRetryInterval = std::chrono::milliseconds(20);
@@ -68,22 +69,26 @@
     error_code error;
     tcp::socket socket(io_);
     acceptor_.accept(socket, error);
-    if (wouldBlock(error))
+    if (wouldBlock(error)) {
+      stalledSince_.reset();
       return AcceptResult::allAccepted;
+    }
     // Eviction helps only if this process has no descriptor left. On any other error it would gain nothing
     // and could close a connection whose request is in transit.
     if (error == boost::system::errc::too_many_files_open)
       return admission_.evictForCapacity(EvictionScope::sparingNew) ? AcceptResult::morePending
                                                                     : AcceptResult::noCapacity;
-    if (isLocalShortage(error) && !isInterrupted(error))
+    if (isLocalShortage(error) && !isInterrupted(error)) {
+      stalledSince_ = stalledSince_.value_or(Clock::now());
       return AcceptResult::noCapacity;
+    }
     // Any other error concerns the first pending connection, which is gone; the next one may be usable
     // (accept(2)).
     if (error)
       continue;
     if (admission_.isAtLimit())
       admission_.evictForCapacity(EvictionScope::all);
-    admission_.admit(std::move(socket));
+    admission_.admit(std::move(socket), stalledSince_.value_or(Clock::now()));
     if (admission_.isOverLimit())
       return AcceptResult::noCapacity;
   }
--- a/src/gateway/downstream_listener.hpp
+++ b/src/gateway/downstream_listener.hpp
@@ -4,6 +4,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <optional>
 
 #include "gateway/connection_evictor.hpp"
 
@@ -19,7 +21,9 @@
   virtual bool isOverLimit() const = 0;
   /// Evicts one connection to make room for another. Returns false if none may be evicted.
   virtual bool evictForCapacity(EvictionScope scope) = 0;
-  virtual void admit(boost::asio::ip::tcp::socket socket) = 0;
+  /// `queuedSince` is the earliest time at which the connection may have been established.
+  virtual void admit(boost::asio::ip::tcp::socket socket,
+                     std::chrono::steady_clock::time_point queuedSince) = 0;
 };
 
 class DownstreamListener {
@@ -52,6 +56,8 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   ConnectionAdmission& admission_;
   boost::asio::steady_timer retryTimer_;
+  // Since when accept has failed without all pending connections having been accepted.
+  std::optional<std::chrono::steady_clock::time_point> stalledSince_;
 };
 
 }  // namespace hollyrun::gateway
--- a/src/gateway/downstream_request_reader.cpp
+++ b/src/gateway/downstream_request_reader.cpp
@@ -259,7 +259,10 @@
   DownstreamRequest request;
   request.id = requestId_;
   request.message.base() = std::move(parser_->get().base());
-  request.receivedAt = lastReceivedAt_;
+  // Counted from the accept, a request that waited for it would be forwarded with time that its client no
+  // longer has.
+  request.receivedAt = firstRequestQueuedSince_.value_or(lastReceivedAt_);
+  firstRequestQueuedSince_.reset();
   return request;
 }
 
--- a/src/gateway/downstream_server.cpp
+++ b/src/gateway/downstream_server.cpp
@@ -48,11 +48,11 @@
   }
 }
 
-void DownstreamServer::admit(tcp::socket socket) {
+void DownstreamServer::admit(tcp::socket socket, Clock::time_point queuedSince) {
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   socket.non_blocking(true, ignored);
-  const auto connection = std::make_shared<DownstreamConnection>(*this, std::move(socket));
+  const auto connection = std::make_shared<DownstreamConnection>(*this, std::move(socket), queuedSince);
   connections_.insert(connection);
   connection->start();
 }
--- a/src/gateway/downstream_server.hpp
+++ b/src/gateway/downstream_server.hpp
@@ -83,7 +83,7 @@
   bool isAtLimit() const override { return countedConnections() >= limits_.connections; }
   bool isOverLimit() const override { return countedConnections() > limits_.connections; }
   bool evictForCapacity(EvictionScope scope) override { return evictor_.evictForCapacity(scope); }
-  void admit(boost::asio::ip::tcp::socket socket) override;
+  void admit(boost::asio::ip::tcp::socket socket, std::chrono::steady_clock::time_point queuedSince) override;
   std::size_t countedConnections() const { return connections_.size() - evictor_.evictedCount(); }
 
   DownstreamRequestId registerRequest(std::shared_ptr<DownstreamConnection> connection);
--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -78,6 +78,26 @@
   }
 }
 
+// The time that a request waits in the accept queue while accept fails is gone for its client, too.
+TEST_F(ProcessFaults, DeadlineSentToAHostLeavesOutTheTimeInTheAcceptQueue) {
+  constexpr auto kWait = 600ms, kDeadline = 1000ms, kSlack = 150ms;
+  std::optional<std::int64_t> deadline;
+  addHost([&](PeerConnection& connection) {
+    deadline = std::stoll(connection.request["X-Deadline-Ms"].to_string());
+    connection.reply(answerText(200, "", "x"));
+  });
+  start();
+  faults->of(FaultyCall::accept).error = ENFILE;
+  faults->of(FaultyCall::accept).oneIn = 1;
+  auto client = Client::connect(io, address);
+  const auto sentAt = std::chrono::steady_clock::now();
+  client->send(readRequest("X-Deadline-Ms: " + std::to_string(kDeadline / 1ms) + "\r\n"));
+  ASSERT_TRUE(waitUntil([&] { return std::chrono::steady_clock::now() - sentAt >= kWait; }));
+  faults->of(FaultyCall::accept).oneIn = 0;
+  ASSERT_TRUE(waitUntil([&] { return !client->answers.empty(); }));
+  EXPECT_LE(deadline.value_or(0), (kDeadline - kWait + kSlack) / 1ms);
+}
+
 INSTANTIATE_TEST_SUITE_P(Errors, FailingAccepts,
                          ::testing::Values(ECONNABORTED, ENFILE, EMFILE, ENOBUFS, ENOMEM, ENETUNREACH,
                                            EPROTO),
