Soak: a configuration that is written for a reload announces no drain

Nothing was written: the file of a truncated reload, which the process turned down, contained the list of an outage, and the soak counted each file as an announcement.

--- a/src/lab/soak/peers.cpp
+++ b/src/lab/soak/peers.cpp
@@ -269,8 +269,12 @@
   agents_.at(gateway).listener->closeAll(true);
 }
 
-std::string SoakDiscovery::fullListFor(std::size_t gateway) {
-  return listJson(gateway, 0);
+std::string SoakDiscovery::fullList() const {
+  return listJson(0);
+}
+
+void SoakDiscovery::announceFullList(std::size_t gateway) {
+  announce(gateway, 0);
 }
 
 bool SoakDiscovery::holdsCalls(std::size_t gateway) const {
@@ -321,8 +325,10 @@
 }
 
 void SoakDiscovery::write(std::size_t gateway, const PendingWatch& watch) {
-  if (watch.connection->isOpen())
-    watch.connection->reply(200, "", listJson(gateway, watch.since));
+  if (!watch.connection->isOpen())
+    return;
+  announce(gateway, watch.since);
+  watch.connection->reply(200, "", listJson(watch.since));
 }
 
 void SoakDiscovery::respondToPendingWatches(std::size_t gateway) {
@@ -336,17 +342,24 @@
       agent.pendingWatches.push_back(watch);
 }
 
-std::string SoakDiscovery::listJson(std::size_t gateway, std::int64_t since) {
+void SoakDiscovery::announce(std::size_t gateway, std::int64_t since) {
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    if (entries_[i].version <= since)
+      continue;
+    if (entries_[i].state == State::serving)
+      oracle_.announcedServing(gateway, i);
+    else
+      oracle_.announcedNotServing(gateway, i, soakNow());
+  }
+}
+
+std::string SoakDiscovery::listJson(std::int64_t since) const {
   static constexpr const char* kStates[] = {"SERVING", "DRAINING", "DELETED"};
   nlohmann::json targets = nlohmann::json::array();
   for (std::size_t i = 0; i < entries_.size(); ++i) {
     const Entry& entry = entries_[i];
     if (entry.version <= since)
       continue;
-    if (entry.state == State::serving)
-      oracle_.announcedServing(gateway, i);
-    else
-      oracle_.announcedNotServing(gateway, i, soakNow());
     if (since == 0 && entry.state == State::removed)
       continue;  // a full list omits removed servers
     targets.push_back({{"uid", "s-" + std::to_string(i)},
--- a/src/lab/soak/peers.hpp
+++ b/src/lab/soak/peers.hpp
@@ -112,9 +112,10 @@
   /// connections and closes its open ones after a while.
   void move(std::size_t gateway);
   void closeWatches(std::size_t gateway);
-  /// Returns the full list as discovery's JSON, for the configuration of a new process. Its contents count as
-  /// announced to the gateway.
-  std::string fullListFor(std::size_t gateway);
+  /// Returns the full list as discovery's JSON, for a configuration.
+  std::string fullList() const;
+  /// The full list counts as announced to the gateway, because its new process starts with it.
+  void announceFullList(std::size_t gateway);
 
  private:
   struct Entry {
@@ -144,7 +145,8 @@
   void respond(std::size_t gateway, const PendingWatch& watch);
   void write(std::size_t gateway, const PendingWatch& watch);
   void respondToPendingWatches(std::size_t gateway);
-  std::string listJson(std::size_t gateway, std::int64_t since);
+  void announce(std::size_t gateway, std::int64_t since);
+  std::string listJson(std::int64_t since) const;
 
   boost::asio::io_context& io_;
   SoakOracle& oracle_;
--- a/src/lab/soak/soak.cpp
+++ b/src/lab/soak/soak.cpp
@@ -202,7 +202,7 @@
                        {"listen", textOf(gateway.port->endpoint())},
                        {"discovery", textOf(discovery_.agent(number))},
                        {"seed", "8c1f30d27a5be964"},
-                       {"known", json::parse(discovery_.fullListFor(number))},
+                       {"known", json::parse(discovery_.fullList())},
                        {"limits", {{"sockets", kSocketLimit}, {"memory_mb", kMemoryLimitMb}}},
                        {"settings",
                         {{"groupSize", plan_.gateways},
@@ -231,6 +231,7 @@
 void Soak::startGateway(std::size_t number) {
   Gateway& gateway = gateways_[number];
   writeConfig(number, true);
+  discovery_.announceFullList(number);
   gateway.ready = gateway.stopped = gateway.terminating = false;
   gateway.termSentAt = {};
   gateway.startedAt = soakNow();
