Soak: a client that was to leave as its response came no longer spoils the next request

Found by reading: the timer of a client's departure may have been queued as the response arrived; it then marked the idle connection as complete and closed it, and the next request on it ended without being reported. A connection now stays complete until its next request starts, so such a timer finds nothing to end. Not forced in a test.

--- a/src/lab/soak/peers.cpp
+++ b/src/lab/soak/peers.cpp
@@ -392,6 +392,7 @@
 
   void start(SoakCall call) {
     call_ = std::move(call);
+    complete_ = false;
     if (reused_)
       return send();
     socket_.async_connect(gateway_, [self = shared_from_this()](error_code ec) {
@@ -452,8 +453,9 @@
     auto& idle = clients_.idleClients_[call_.gateway];
     if (!response.keep_alive() || idle.size() >= kMaxIdleConnections)
       return closeSocket(socket_, false);
+    // Stays complete until the next call: the disconnect of this one may be queued already.
     reused_ = true;
-    complete_ = retried_ = false;
+    retried_ = false;
     idle.push_back(shared_from_this());
   }
 
