A listener that gets no socket at the start is tried again

Cause: the listener threw on any error of socket(). Change: for a shortage of descriptors or buffers it is tried again every 100 ms, with a warning; any other error ends the process as before.

Evidence: ProcessListensOnceAShortageOfDescriptorsAtItsStartIsOver failed before, also on (open: Too many open files in system), and passes now.

--- a/src/gateway/downstream_listener.cpp
+++ b/src/gateway/downstream_listener.cpp
@@ -28,8 +28,13 @@
 DownstreamListener::DownstreamListener(asio::io_context& io, ConnectionAdmission& admission)
     : io_(io), acceptor_(io), admission_(admission), retryTimer_(io) {}
 
-void DownstreamListener::listen(const tcp::endpoint& address, bool shared) {
-  acceptor_.open(address.protocol());
+bool DownstreamListener::listen(const tcp::endpoint& address, bool shared) {
+  error_code error;
+  acceptor_.open(address.protocol(), error);
+  if (isLocalShortage(error))
+    return false;
+  if (error)
+    throw boost::system::system_error(error, "open");
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
   if (shared)
@@ -41,6 +46,7 @@
   // would block the event loop.
   acceptor_.set_option(asio::socket_base::enable_connection_aborted(true));
   awaitPending();
+  return true;
 }
 
 void DownstreamListener::awaitPending() {
--- a/src/gateway/downstream_listener.hpp
+++ b/src/gateway/downstream_listener.hpp
@@ -31,9 +31,10 @@
   /// `admission` has to outlive the listener.
   DownstreamListener(boost::asio::io_context& io, ConnectionAdmission& admission);
 
-  /// If `shared`, another process may listen at the same address (SO_REUSEPORT). Throws
-  /// boost::system::system_error.
-  void listen(const boost::asio::ip::tcp::endpoint& address, bool shared);
+  /// If `shared`, another process may listen at the same address (SO_REUSEPORT). Returns false if this
+  /// machine has no descriptor or buffer for the socket now. Throws boost::system::system_error on any other
+  /// error.
+  bool listen(const boost::asio::ip::tcp::endpoint& address, bool shared);
   boost::asio::ip::tcp::endpoint localEndpoint() const { return acceptor_.local_endpoint(); }
   bool isOpen() const { return acceptor_.is_open(); }
   int nativeHandle() { return acceptor_.native_handle(); }
--- a/src/gateway/downstream_server.cpp
+++ b/src/gateway/downstream_server.cpp
@@ -38,8 +38,8 @@
 
 // --- Connections ----------------------------------------------------------------------------------------
 
-void DownstreamServer::listen(const tcp::endpoint& address, bool shared) {
-  listener_.listen(address, shared);
+bool DownstreamServer::listen(const tcp::endpoint& address, bool shared) {
+  return listener_.listen(address, shared);
 }
 
 void DownstreamServer::setConnectionLimit(std::size_t connections) {
--- a/src/gateway/downstream_server.hpp
+++ b/src/gateway/downstream_server.hpp
@@ -45,8 +45,9 @@
   DownstreamServer(const DownstreamServer&) = delete;
   DownstreamServer& operator=(const DownstreamServer&) = delete;
 
-  /// If `shared`, another process may listen at the same address. Throws boost::system::system_error.
-  void listen(const boost::asio::ip::tcp::endpoint& address, bool shared);
+  /// If `shared`, another process may listen at the same address. Returns false if this machine has no
+  /// descriptor or buffer for the listener now. Throws boost::system::system_error on any other error.
+  bool listen(const boost::asio::ip::tcp::endpoint& address, bool shared);
   boost::asio::ip::tcp::endpoint localEndpoint() const { return listener_.localEndpoint(); }
   bool isListening() const { return listener_.isOpen(); }
   int listenerHandle() { return listener_.nativeHandle(); }
--- a/src/gateway/process_lifecycle.cpp
+++ b/src/gateway/process_lifecycle.cpp
@@ -16,6 +16,10 @@
 // Time that the other process needs to detect this one and to reduce its own limits.
 constexpr auto kMinListenDelay = std::chrono::milliseconds(300);
 
+// A shortage of descriptors or buffers passes soon; a process that ended for it would have to be started
+// again.
+constexpr auto kListenRetryInterval = std::chrono::milliseconds(100);
+
 }  // namespace
 
 ConnectionLimits partitionDescriptors(std::size_t descriptors, std::size_t maxDownstream,
@@ -75,7 +79,11 @@
 void ProcessLifecycle::startListening() {
   if (downstream_.isListening() || isShuttingDown_)
     return;
-  downstream_.listen(address_, sharing_ == AddressSharing::shared);
+  if (!downstream_.listen(address_, sharing_ == AddressSharing::shared)) {
+    log_.write(LogLevel::warning, "listener", "no descriptor or buffer for the listener, retrying");
+    listenTimer_.expires_after(kListenRetryInterval);
+    return startListeningAtTimer();
+  }
   if (isOtherProcessPresent())
     HotRestart::steerToLatestListener(downstream_.listenerHandle());
 }
--- a/src/gateway/process_lifecycle.hpp
+++ b/src/gateway/process_lifecycle.hpp
@@ -51,8 +51,9 @@
   /// process listens at it.
   void enableHotRestart(const std::string& directory);
   /// Starts listening at once, or, if another process serves the address, after discovery's first answer or a
-  /// timeout, but not before the other process has had time to reduce its own limits. Throws
-  /// boost::system::system_error if listening fails.
+  /// timeout, but not before the other process has had time to reduce its own limits. Retries while this
+  /// machine has no descriptor or buffer for the listener. Throws boost::system::system_error if listening
+  /// fails.
   void start();
   void onDiscoveryAnswer();
 
--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -78,6 +78,22 @@
   }
 }
 
+TEST_F(ProcessFaults, ProcessListensOnceAShortageOfDescriptorsAtItsStartIsOver) {
+  addHost(answering("x"));
+  faults->of(FaultyCall::socket).error = ENFILE;
+  faults->of(FaultyCall::socket).oneIn = 1;
+  address = reserveEndpoint();
+  config["listen"] = textOf(address);
+  config["discovery"] = textOf(discovery.peer.endpoint);
+  config["known"] = {{"rev", 1}, {"all", true}, {"targets", discovery.list}};
+  writeConfigAndSpawn();
+  ASSERT_TRUE(waitUntil([&] { return faults->of(FaultyCall::socket).injected >= 3 || processEnded(); }));
+  ASSERT_FALSE(processEnded()) << log();
+  faults->of(FaultyCall::socket).oneIn = 0;
+  ASSERT_TRUE(waitUntil([&] { return acceptsConnections(); }));
+  EXPECT_EQ(sendSequentially(10).count(200), 10u);
+}
+
 // The time that a request waits in the accept queue while accept fails is gone for its client, too.
 TEST_F(ProcessFaults, DeadlineSentToAHostLeavesOutTheTimeInTheAcceptQueue) {
   constexpr auto kWait = 600ms, kDeadline = 1000ms, kSlack = 150ms;
