--- a/src/lab/soak/message_plan.cpp
+++ b/src/lab/soak/message_plan.cpp
@@ -41,12 +41,14 @@
   return "?read=" + std::to_string(plan.readBytesPerSecond) +
          "&framing=" + std::string(kFramingNames[static_cast<std::size_t>(response.framing)]) +
          "&bytes=" + std::to_string(response.bytes) + "&piece=" + std::to_string(response.pieceBytes) +
-         "&pause=" + std::to_string(response.pause.count()) + "&ended=" + (response.isEnded ? "1" : "0");
+         "&pause=" + std::to_string(response.pause.count()) + "&ended=" + (response.isEnded ? "1" : "0") +
+         (plan.shortFields > 0 ? "&fields=" + std::to_string(plan.shortFields) : "");
 }
 
 ServerPlan serverPlanOf(std::string_view target) {
   ServerPlan plan;
   plan.readBytesPerSecond = numberOf(target, "read", 0);
+  plan.shortFields = numberOf(target, "fields", 0);
   BodyPlan& response = plan.response;
   response.framing = framingOf(valueOf(target, "framing"));
   response.bytes = numberOf(target, "bytes", response.bytes);
--- a/src/lab/soak/message_plan.hpp
+++ b/src/lab/soak/message_plan.hpp
@@ -25,6 +25,7 @@
 /// What the record server does with a request: the rate at which it reads it, then its response.
 struct ServerPlan {
   std::size_t readBytesPerSecond = 0;  ///< 0: as fast as it can
+  std::size_t shortFields = 0;         ///< fields of four bytes in the head of the response
   BodyPlan response;
 };
 
--- a/src/lab/soak/scripted_peers.cpp
+++ b/src/lab/soak/scripted_peers.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "gateway/chunked_encoding.hpp"
+#include "lab/soak/peer_sockets.hpp"
 
 namespace hollyrun::lab {
 namespace {
@@ -21,24 +22,12 @@
 
 constexpr auto kReadInterval = 20ms;  // between the reads of a slow reader
 constexpr std::size_t kReadSize = 64 << 10;
-// Keeps the kernel from taking a large message for a slow reader.
-constexpr int kSmallReceiveBuffer = 32 << 10;
-constexpr std::size_t kStoppedHeadBytes = 15'000;
-constexpr std::size_t kShortFields = 3'600;
-constexpr std::size_t kLargeBody = 400'000;
 
 std::size_t bytesPerRead(std::size_t bytesPerSecond) {
   const std::size_t bytes = bytesPerSecond * static_cast<std::size_t>(kReadInterval.count()) / 1000;
   return bytesPerSecond == 0 ? kReadSize : std::clamp<std::size_t>(bytes, 1, kReadSize);
 }
 
-// Resets the connection: a closed one would go on to send what is buffered.
-void resetSocket(tcp::socket& socket) {
-  error_code ignored;
-  socket.set_option(asio::socket_base::linger(true, 0), ignored);
-  socket.close(ignored);
-}
-
 std::string framingHeader(const BodyPlan& plan) {
   switch (plan.framing) {
     case BodyFraming::length:
@@ -174,7 +163,10 @@
                                        self->resetParser();
                                        self->parse();
                                      });
-    writer->start("HTTP/1.1 200 OK\r\n" + framingHeader(plan_.response) + "\r\n");
+    std::string head = "HTTP/1.1 200 OK\r\n" + framingHeader(plan_.response);
+    for (std::size_t i = 0; i < plan_.shortFields; ++i)
+      head += "b:\r\n";
+    writer->start(head + "\r\n");
   }
 
   ScriptedServer& server_;
@@ -329,229 +321,4 @@
     result_.endedAt = PeerClock::now();
 }
 
-// --- Crowds ----------------------------------------------------------------------------------------------
-
-const char* nameOf(CrowdKind kind) {
-  static constexpr const char* kNames[] = {"Idle",        "StoppedHead",    "ShortFields",
-                                           "StoppedBody", "StoppedChunks",  "SlowBody",
-                                           "Pipelined",   "UnreadResponse", "SlowResponse"};
-  return kNames[static_cast<std::size_t>(kind)];
-}
-
-struct SlowCrowd::Member {
-  explicit Member(asio::io_context& io) : socket(io) {}
-  tcp::socket socket;
-  std::string text;
-  bool isConnected = false;
-};
-
-SlowCrowd::~SlowCrowd() {
-  for (const auto& member : members_)
-    resetSocket(member->socket);
-  for (const auto& client : clients_)
-    client->close();
-}
-
-std::size_t SlowCrowd::connected() const {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(members_, [](const auto& member) { return member->isConnected; }));
-}
-
-std::string SlowCrowd::newId() {
-  const std::string id = idPrefix_ + std::to_string(++requests_);
-  if (onRequest)
-    onRequest(id);
-  return id;
-}
-
-void SlowCrowd::arrive(CrowdKind kind, std::size_t clients) {
-  for (std::size_t i = 0; i < clients; ++i) {
-    if (kind == CrowdKind::slowBody || kind == CrowdKind::slowResponse)
-      clients_.push_back(ScriptedClient::send(io_, gateway_, slowExchange(kind)));
-    else
-      startMember(kind);
-  }
-}
-
-ExchangePlan SlowCrowd::slowExchange(CrowdKind kind) {
-  ExchangePlan plan;
-  plan.requestId = newId();
-  if (kind == CrowdKind::slowBody) {
-    plan.request = {BodyFraming::chunked, kLargeBody / 2, 6'400, 100ms, true};
-    return plan;
-  }
-  plan.method = "GET";
-  plan.path = "/read";
-  plan.server.response = {BodyFraming::chunked, kLargeBody / 2, kLargeBody / 2, 0ms, true};
-  plan.readBytesPerSecond = 64'000;
-  return plan;
-}
-
-void SlowCrowd::startMember(CrowdKind kind) {
-  const auto member = std::make_shared<Member>(io_);
-  members_.push_back(member);
-  error_code ignored;
-  member->socket.open(gateway_.protocol(), ignored);
-  if (kind == CrowdKind::unreadResponse)
-    member->socket.set_option(asio::socket_base::receive_buffer_size(kSmallReceiveBuffer), ignored);
-  member->text = textFor(kind);
-  member->socket.async_connect(gateway_, [member](error_code error) {
-    if (error)
-      return;
-    member->isConnected = true;
-    asio::async_write(member->socket, asio::buffer(member->text), [member](error_code, std::size_t) {});
-  });
-}
-
-std::string SlowCrowd::textFor(CrowdKind kind) {
-  const std::string post = "POST /write HTTP/1.1\r\nHost: x\r\nX-Request-Id: ";
-  const std::string get = "GET /read";
-  const std::string afterTarget = " HTTP/1.1\r\nHost: x\r\nX-Request-Id: ";
-  switch (kind) {
-    case CrowdKind::idle:
-      return "";
-    case CrowdKind::stoppedHead:
-      return post + "stopped\r\nX-Long: " + std::string(kStoppedHeadBytes, 'x');
-    case CrowdKind::shortFields: {
-      std::string fields;
-      for (std::size_t i = 0; i < kShortFields; ++i)
-        fields += "a:\r\n";
-      // The record server never ends its small response, so that the requests stay in progress.
-      const ServerPlan plan{0, {BodyFraming::length, 10, 10, 0ms, false}};
-      return get + queryOf(plan) + afterTarget + newId() + "\r\n" + fields + "\r\n";
-    }
-    case CrowdKind::stoppedBody:
-      return post + newId() + "\r\nContent-Length: " + std::to_string(kLargeBody) + "\r\n\r\n" +
-             std::string(kLargeBody / 2, 'x');
-    case CrowdKind::stoppedChunks: {
-      std::string chunks;
-      for (std::size_t i = 0; i < kLargeBody / 10; ++i)
-        chunks += "1\r\nx\r\n";
-      return post + newId() + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks;
-    }
-    case CrowdKind::pipelined: {
-      std::string requests;
-      for (std::size_t i = 0; i < pipelinedRequests; ++i)
-        requests += get + afterTarget + newId() + "\r\n\r\n";
-      return requests;
-    }
-    case CrowdKind::unreadResponse: {
-      const ServerPlan plan{0, {BodyFraming::length, kLargeBody, kLargeBody, 0ms, true}};
-      return get + queryOf(plan) + afterTarget + newId() + "\r\n\r\n";
-    }
-    default:
-      return "";
-  }
-}
-
-// --- Floods ----------------------------------------------------------------------------------------------
-
-const char* nameOf(FloodKind kind) {
-  static constexpr const char* kNames[] = {"SoundRequests", "NewNames", "UnsoundRequests", "TinyChunks",
-                                           "EmptyLines"};
-  return kNames[static_cast<std::size_t>(kind)];
-}
-
-Flood::Flood(asio::io_context& io, tcp::endpoint gateway, FloodKind kind, bool readsResponses,
-             std::string idPrefix)
-    : io_(io),
-      gateway_(std::move(gateway)),
-      kind_(kind),
-      readsResponses_(readsResponses),
-      idPrefix_(std::move(idPrefix)),
-      reconnectTimer_(io),
-      pauseTimer_(io),
-      received_(kReadSize) {}
-
-std::shared_ptr<Flood> Flood::start(asio::io_context& io, const tcp::endpoint& gateway, FloodKind kind,
-                                    bool readsResponses, std::string idPrefix) {
-  const std::shared_ptr<Flood> flood(new Flood(io, gateway, kind, readsResponses, std::move(idPrefix)));
-  flood->connect();
-  return flood;
-}
-
-void Flood::stop() {
-  isStopped_ = true;
-  if (socket_)
-    resetSocket(*socket_);
-}
-
-void Flood::connect() {
-  if (isStopped_)
-    return;
-  socket_ = std::make_shared<tcp::socket>(io_);
-  isHeadSent_ = false;
-  socket_->async_connect(gateway_, [self = shared_from_this(), socket = socket_](error_code error) {
-    if (error || self->isStopped_)
-      return;
-    self->write();
-    if (self->readsResponses_)
-      self->read();
-  });
-}
-
-void Flood::write() {
-  outgoing_ = nextText();
-  asio::async_write(*socket_, asio::buffer(outgoing_),
-                    [self = shared_from_this(), socket = socket_](error_code error, std::size_t bytes) {
-                      self->bytesWritten_ += bytes;
-                      if (self->isStopped_ || socket != self->socket_)
-                        return;
-                      if (!error)
-                        return self->writeAfterPause();
-                      self->reconnectTimer_.expires_after(kReadInterval);
-                      self->reconnectTimer_.async_wait([self](error_code) { self->connect(); });
-                    });
-}
-
-void Flood::writeAfterPause() {
-  if (pause == 0ms)
-    return write();
-  pauseTimer_.expires_after(pause);
-  pauseTimer_.async_wait([self = shared_from_this(), socket = socket_](error_code error) {
-    if (!error && !self->isStopped_ && socket == self->socket_)
-      self->write();
-  });
-}
-
-void Flood::read() {
-  socket_->async_read_some(asio::buffer(received_),
-                           [self = shared_from_this(), socket = socket_](error_code error, std::size_t) {
-                             if (!error && !self->isStopped_ && socket == self->socket_)
-                               self->read();
-                           });
-}
-
-std::string Flood::nextText() {
-  constexpr int kPerWrite = 50;
-  std::string text;
-  switch (kind_) {
-    case FloodKind::emptyLines:
-      return std::string(kReadSize, '\n');
-    case FloodKind::tinyChunks:
-      if (!std::exchange(isHeadSent_, true))
-        text = "POST /write HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + idPrefix_ + std::to_string(++requests_) +
-               "\r\nTransfer-Encoding: chunked\r\n\r\n";
-      for (int i = 0; i < 100 * kPerWrite; ++i)
-        text += "1\r\nx\r\n";
-      return text;
-    case FloodKind::unsoundRequests:
-      for (int i = 0; i < kPerWrite; ++i)
-        text += "GET /read HTTP/1.1\r\nHost: x\r\n\r\n";
-      return text;
-    default:
-      break;
-  }
-  for (int i = 0; i < kPerWrite; ++i) {
-    const std::string id = idPrefix_ + std::to_string(++requests_);
-    if (onRequest)
-      onRequest(id);
-    text += "GET /read HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + id + "\r\n";
-    if (kind_ == FloodKind::newNames)
-      text += "X-Tenant: t" + id + "\r\nCookie: obj=k" + id + "\r\nX-Deadline-Ms: 4000000000\r\n";
-    text += "\r\n";
-  }
-  return text;
-}
-
 }  // namespace hollyrun::lab
--- a/src/lab/soak/scripted_peers.hpp
+++ b/src/lab/soak/scripted_peers.hpp
@@ -1,5 +1,5 @@
-// Peers that send and receive large messages in a planned way: a record server, clients, and crowds of slow
-// clients. All of them run on the event loop of the test or the soak.
+// Peers that send and receive large messages in a planned way: a record server and clients. They run on the
+// event loop of the test or the soak.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -122,97 +122,4 @@
   boost::beast::http::response_parser<gateway::IncrementalBody> parser_;
 };
 
-/// What each client of a crowd does; none of them finishes a request unless stated.
-enum class CrowdKind : std::uint8_t {
-  idle,            ///< connects and sends nothing
-  stoppedHead,     ///< stops in a head of nearly the largest size
-  shortFields,     ///< sends whole requests whose heads have as many short fields as fit
-  stoppedBody,     ///< stops half way through a large body of announced length
-  stoppedChunks,   ///< stops half way through a large body in tiny chunks
-  slowBody,        ///< writes a large body at 64 kB a second and finishes it
-  pipelined,       ///< pipelines many requests and reads nothing
-  unreadResponse,  ///< asks for a long response and reads nothing of it
-  slowResponse,    ///< asks for a long response and reads it slowly
-  count
-};
-inline constexpr std::size_t kCrowdKinds = static_cast<std::size_t>(CrowdKind::count);
-const char* nameOf(CrowdKind kind);
-
-/// Many clients of one kind.
-class SlowCrowd {
- public:
-  /// `idPrefix` makes the ids of the crowd's requests distinct.
-  SlowCrowd(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint gateway, std::string idPrefix)
-      : io_(io), gateway_(std::move(gateway)), idPrefix_(std::move(idPrefix)) {}
-  ~SlowCrowd();
-  SlowCrowd(const SlowCrowd&) = delete;
-  SlowCrowd& operator=(const SlowCrowd&) = delete;
-
-  /// Called with the id of each request that a client of the crowd is about to send.
-  std::function<void(const std::string& requestId)> onRequest;
-  void arrive(CrowdKind kind, std::size_t clients);
-  std::size_t pipelinedRequests = 500;  ///< of each client that pipelines
-  std::size_t connected() const;
-
- private:
-  struct Member;
-  void startMember(CrowdKind kind);
-  std::string textFor(CrowdKind kind);
-  std::string newId();
-  ExchangePlan slowExchange(CrowdKind kind);
-
-  boost::asio::io_context& io_;
-  boost::asio::ip::tcp::endpoint gateway_;
-  std::string idPrefix_;
-  std::size_t requests_ = 0;
-  std::vector<std::shared_ptr<Member>> members_;
-  std::vector<std::shared_ptr<ScriptedClient>> clients_;
-};
-
-/// What a client that floods one connection sends.
-enum class FloodKind : std::uint8_t {
-  soundRequests,    ///< whole requests, pipelined, each with a new id
-  newNames,         ///< whole requests with ever new ids, tenants, keys and a very long deadline
-  unsoundRequests,  ///< requests without an id
-  tinyChunks,       ///< one request whose body comes in chunks of one byte
-  emptyLines,       ///< line ends without a request
-  count
-};
-inline constexpr std::size_t kFloodKinds = static_cast<std::size_t>(FloodKind::count);
-const char* nameOf(FloodKind kind);
-
-/// One client that writes at full speed on one connection, and connects again when that is closed.
-class Flood : public std::enable_shared_from_this<Flood> {
- public:
-  static std::shared_ptr<Flood> start(boost::asio::io_context& io,
-                                      const boost::asio::ip::tcp::endpoint& gateway, FloodKind kind,
-                                      bool readsResponses, std::string idPrefix);
-  void stop();
-  std::size_t bytesWritten() const { return bytesWritten_; }
-  /// Called with the id of each request that the client is about to send.
-  std::function<void(const std::string& requestId)> onRequest;
-  std::chrono::milliseconds pause{0};  ///< between two writes
-
- private:
-  Flood(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint gateway, FloodKind kind,
-        bool readsResponses, std::string idPrefix);
-  void connect();
-  void write();
-  void writeAfterPause();
-  void read();
-  std::string nextText();
-
-  boost::asio::io_context& io_;
-  boost::asio::ip::tcp::endpoint gateway_;
-  FloodKind kind_;
-  bool readsResponses_;
-  std::string idPrefix_;
-  std::shared_ptr<boost::asio::ip::tcp::socket> socket_;
-  boost::asio::steady_timer reconnectTimer_, pauseTimer_;
-  std::string outgoing_;
-  std::vector<char> received_;
-  std::size_t requests_ = 0, bytesWritten_ = 0;
-  bool isStopped_ = false, isHeadSent_ = false;
-};
-
 }  // namespace hollyrun::lab
--- a/src/lab/soak/soak.cpp
+++ b/src/lab/soak/soak.cpp
@@ -16,8 +16,9 @@
 #include <utility>
 
 #include "lab/faults/fault_file.hpp"
+#include "lab/soak/flood.hpp"
 #include "lab/soak/peers.hpp"
-#include "lab/soak/scripted_peers.hpp"
+#include "lab/soak/slow_crowd.hpp"
 #include "lab/testbed/lag_meter.hpp"
 #include "lab/testbed/platform.hpp"
 #include "lab/testbed/process.hpp"
--- a/tests/memory_limit_test.cpp
+++ b/tests/memory_limit_test.cpp
@@ -1,6 +1,8 @@
 // The process stays within the least memory of the pages, whatever its peers do, and goes on serving others.
 #include <array>
 
+#include "lab/soak/flood.hpp"
+#include "lab/soak/slow_crowd.hpp"
 #include "slow_peers_fixture.hpp"
 
 namespace hollyrun::gateway::testing {
