Time of a request: bytes that were read late count from their arrival

Cause: the time counted from the read where nothing told that reading was behind. Change: after each read the socket tells when its last bytes arrived; more than 30 ms ago, the request counts from there. Test: a process stopped for 500 ms told its host 979 of 1,000 ms on, where 650 are allowed; it passes now.

--- a/src/gateway/downstream_connection.cpp
+++ b/src/gateway/downstream_connection.cpp
@@ -54,6 +54,9 @@
 // The resolution of the kernel's clock of arrivals.
 constexpr auto kArrivalResolution = std::chrono::milliseconds(10);
 
+// Bytes that arrived this long ago were read late: the event loop or the whole process stood still.
+constexpr auto kLateRead = std::chrono::milliseconds(30);
+
 // When the bytes that a connection brought from the accept queue arrived, at the earliest.
 DownstreamConnection::Clock::time_point arrivalInQueue(tcp::socket& socket,
                                                        DownstreamConnection::Clock::time_point queuedSince) {
@@ -112,6 +115,14 @@
   return awaitingFirstRequest_ && now - connectedAt_ <= kFirstRequestGrace;
 }
 
+// The time at which the last bytes of a read arrived. It is the time of the read unless that was late.
+DownstreamConnection::Clock::time_point DownstreamConnection::arrivalOfLastRead() {
+  const auto age = timeSinceLastArrival(socket_);
+  if (!age || *age < kLateRead)
+    return lastReceivedAt_;
+  return lastReceivedAt_ - *age - kArrivalResolution;
+}
+
 // --- Closing --------------------------------------------------------------------------------------------
 
 void DownstreamConnection::close(CloseReason reason) {
--- a/src/gateway/downstream_connection.hpp
+++ b/src/gateway/downstream_connection.hpp
@@ -122,6 +122,7 @@
   std::size_t readSize() const;
   void recordArrival();
   void recordBacklog();
+  Clock::time_point arrivalOfLastRead();
   void parseInput();
   void awaitMore();
   bool parseBuffered();
--- a/src/gateway/downstream_request_reader.cpp
+++ b/src/gateway/downstream_request_reader.cpp
@@ -134,7 +134,7 @@
 }
 
 void DownstreamConnection::recordBacklog() {
-  earliestWriteAt_ = unreadSince_.value_or(lastReceivedAt_);
+  earliestWriteAt_ = unreadSince_ ? *unreadSince_ : arrivalOfLastRead();
   if (!hasUnreadBytes(socket_))
     unreadSince_.reset();
   else
--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -114,6 +114,29 @@
   EXPECT_LE(deadline.value_or(0), (kDeadline - kWait + kSlack) / 1ms);
 }
 
+TEST_F(ProcessFaults, DeadlineSentToAHostLeavesOutTheTimeInWhichTheProcessStoodStill) {
+  constexpr auto kStandstill = 500ms, kDeadline = 1000ms;
+  constexpr auto kSlack = 150ms;  // That the pages grant.
+  std::vector<std::int64_t> told;
+  addHost([&](PeerConnection& connection) {
+    told.push_back(std::stoll(connection.request["X-Deadline-Ms"].to_string()));
+    connection.reply(answerText(200, "", "ok"));
+  });
+  start();
+  auto client = Client::connect(io, address);
+  const std::string deadline = "X-Deadline-Ms: " + std::to_string(kDeadline.count()) + "\r\n";
+  client->send(readRequest(deadline));
+  ASSERT_TRUE(waitUntil([&] { return client->answers.size() == 1; }));
+  ::kill(pid, SIGSTOP);
+  client->send(readRequest(deadline));
+  const auto end = std::chrono::steady_clock::now() + kStandstill;
+  ASSERT_TRUE(waitUntil([&] { return std::chrono::steady_clock::now() > end; }));
+  ::kill(pid, SIGCONT);
+  ASSERT_TRUE(waitUntil([&] { return client->answers.size() == 2; }));
+  ASSERT_EQ(told.size(), 2u);
+  EXPECT_LE(told[1], (kDeadline - kStandstill + kSlack).count());
+}
+
 INSTANTIATE_TEST_SUITE_P(Errors, FailingAccepts,
                          ::testing::Values(ECONNABORTED, ENFILE, EMFILE, ENOBUFS, ENOMEM, ENETUNREACH,
                                            EPROTO),
