Event loop: an exception in a handler no longer ends the process

What callers would see: one exception in one client's handler (a full buffer, no memory) ended the process with all its requests.

Change: the loop logs the exception and goes on, and the executor of actions resets its flag, which would otherwise stop all further actions. Tests and soaks abort, so that they see it.

--- a/src/gateway/action_executor.cpp
+++ b/src/gateway/action_executor.cpp
@@ -20,6 +20,18 @@
 // Connecting alone is limited by the connection pool's connect timeout, which is shorter.
 constexpr Duration kUploadConnectTimeout = std::chrono::seconds(10);
 
+// Also ends at an exception: with the flag set, no further action would ever be executed.
+class ExecutionScope {
+ public:
+  explicit ExecutionScope(bool& isExecuting) : isExecuting_(isExecuting) { isExecuting_ = true; }
+  ~ExecutionScope() { isExecuting_ = false; }
+  ExecutionScope(const ExecutionScope&) = delete;
+  ExecutionScope& operator=(const ExecutionScope&) = delete;
+
+ private:
+  bool& isExecuting_;
+};
+
 constexpr std::string_view kHedge = "hedge";  // the cause of an attempt beside one that is in flight
 
 }  // namespace
@@ -44,7 +56,7 @@
 void ActionExecutor::executePending() {
   if (isExecuting_)
     return;
-  isExecuting_ = true;
+  const ExecutionScope scope(isExecuting_);
   for (;;) {
     disconnectDepartedClients();
     rejectRepeatedRequests();
@@ -61,7 +73,6 @@
     if (!completeNextAttempt())
       break;
   }
-  isExecuting_ = false;
 }
 
 void ActionExecutor::disconnectDepartedClients() {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -17,6 +17,7 @@
 
 #include "gateway/config.hpp"
 #include "gateway/config_printer.hpp"
+#include "gateway/event_loop.hpp"
 #include "gateway/gateway.hpp"
 #include "gateway/ops_client.hpp"
 #include "gateway/process_memory.hpp"
@@ -76,7 +77,7 @@
     if (!ec)
       gateway.shutDown([&] { io.stop(); });
   });
-  io.run();
+  runEventLoop(io, options.abortOnViolation ? ExceptionPolicy::abort : ExceptionPolicy::log, log);
   return 0;
 }
 
