Soak: a repeated request tells the time that is left; some crowds leave and come again

A client that sends its request once more on a new connection stated its whole deadline again, while the oracle counts from the first time.

--- a/src/lab/soak/peers.cpp
+++ b/src/lab/soak/peers.cpp
@@ -420,10 +420,13 @@
 
  private:
   void send() {
-    if (!retried_)
-      clients_.oracle_.requestSent(call_.id, call_.requestClass, call_.gateway, soakNow(), call_.timeout);
+    const SoakTime now = soakNow();
+    if (!retried_) {
+      call_.firstSentAt = now;
+      clients_.oracle_.requestSent(call_.id, call_.requestClass, call_.gateway, now, call_.timeout);
+    }
     ++clients_.inFlight_;
-    requestText_ = call_.head + call_.body;
+    requestText_ = call_.head + deadlineHeader(now) + "\r\n" + call_.body;
     asio::async_write(socket_, asio::buffer(requestText_),
                       [self = shared_from_this()](error_code, std::size_t) {});
     if (call_.disconnect != SoakDisconnect::none) {
@@ -442,6 +445,12 @@
                           });
   }
 
+  // A deadline counts from the moment at which it is sent.
+  std::string deadlineHeader(SoakTime now) const {
+    const SoakTime left = std::max<SoakTime>(call_.firstSentAt + call_.timeout - now, 1ms);
+    return "X-Deadline-Ms: " + std::to_string(left / 1ms) + "\r\n";
+  }
+
   void readRest(error_code ec) {
     if (ec || parser_->is_done())
       return responseEnded(ec);
--- a/src/lab/soak/peers.hpp
+++ b/src/lab/soak/peers.hpp
@@ -176,16 +176,18 @@
 
 /// A request of a client.
 struct SoakCall {
-  std::string id, head, body;  ///< `head`: request line and headers, including the empty line
+  std::string id, body;
+  std::string head;  ///< request line and headers, without the deadline and the empty line
   SoakClass requestClass;
   std::size_t gateway = 0;
   SoakTime timeout{};
+  SoakTime firstSentAt{};  ///< set by the client
   SoakDisconnect disconnect = SoakDisconnect::none;
   SoakTime disconnectAfter{};
 };
 
 /// Sends each request once. A request whose reused connection was closed before any byte of the response is
-/// sent once more on a new connection, as HTTP/1.1 allows.
+/// sent once more on a new connection, as HTTP/1.1 allows, with the time that its client still waits.
 class SoakClients {
  public:
   SoakClients(boost::asio::io_context& io, SoakOracle& oracle, std::size_t gateways);
--- a/src/lab/soak/soak.cpp
+++ b/src/lab/soak/soak.cpp
@@ -46,7 +46,8 @@
 constexpr std::size_t kCrowdBatch = 10;
 constexpr auto kCrowdBatchInterval = 10ms;
 constexpr std::size_t kPipelinedRequests = 50;
-constexpr auto kFloodPause = 2ms;  // between writes of fifty requests
+constexpr std::uint64_t kReturnDivisor = 1 << 16;  // the bit of a random value that makes a crowd come again
+constexpr auto kFloodPause = 2ms;                  // between writes of fifty requests
 constexpr auto kMaxDrainBeforeReturn = 500ms;
 constexpr auto kDrainAfterReturn = 2000ms;
 constexpr std::chrono::milliseconds kLateAnswers[] = {200ms, 600ms, 1200ms, 2500ms};
@@ -373,13 +374,11 @@
   call.timeout = kClientTimeout;
   call.head = std::string(get ? "GET /" : "POST /") + call.requestClass.name +
               (isLarge ? queryOf(plan) : "") + " HTTP/1.1\r\nHost: x\r\nX-Class: " + call.requestClass.name +
-              "\r\nX-Request-Id: " + call.id +
-              "\r\nX-Deadline-Ms: " + std::to_string(kClientTimeout.count()) + "\r\n";
+              "\r\nX-Request-Id: " + call.id + "\r\n";
   if (call.requestClass.idempotency == balancer::Idempotency::keyed)
     call.head += "Idempotency-Key: k" + call.id + "\r\n";
   if (!get)
     call.head += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
-  call.head += "\r\n";
   if (clientsDisconnect_ && random_() % 3 == 0) {
     call.disconnect = static_cast<SoakDisconnect>(1 + random_() % 3);
     call.disconnectAfter = std::chrono::milliseconds(random_() % 30);
@@ -508,6 +507,8 @@
   const bool isMixed = variant % 2 == 0;
   const std::size_t kinds = isMixed ? kCrowdKinds : 1;
   gateway.slowCrowd->pipelinedRequests = kPipelinedRequests;
+  if (variant / kReturnDivisor % 2 == 0)
+    gateway.slowCrowd->visits = CrowdVisits{};
   // In batches, so that the soak's own event loop is not delayed.
   for (std::size_t arrived = 0; arrived < crowdSize(); arrived += kCrowdBatch) {
     const auto kind = static_cast<CrowdKind>((variant / 2 + arrived / kCrowdBatch % kinds) % kCrowdKinds);
