--- a/src/lab/soak/oracle.cpp
+++ b/src/lab/soak/oracle.cpp
@@ -108,7 +108,7 @@
 }
 
 void SoakOracle::requestArrived(const std::string& id, std::size_t server, std::optional<SoakTime> deadline,
-                                SoakTime now) {
+                                SoakTime now, std::optional<SoakTime> headArrivedAt) {
   const auto it = requests_.find(id);
   if (it == requests_.end())
     return add(SoakRule::nobodysRequest, id,
@@ -121,9 +121,10 @@
       add(SoakRule::afterLeaving, id,
           "arrived at a server " + millisecondsText(since) + " after its client disconnected");
   }
-  const SoakTime remaining = request.sent + request.timeout - now;
+  const SoakTime toldAt = headArrivedAt.value_or(now);
+  const SoakTime remaining = request.sent + request.timeout - toldAt;
   if (!request.isOther && deadline &&
-      *deadline > remaining + kDeadlineGrace + slack_ + pausedDuring(gateway, request.sent, now))
+      *deadline > remaining + kDeadlineGrace + slack_ + pausedDuring(gateway, request.sent, toldAt))
     add(SoakRule::toldTooMuch, id,
         "the server was given " + millisecondsText(*deadline) + ", but the client had " +
             millisecondsText(remaining) + " left");
--- a/src/lab/soak/oracle.hpp
+++ b/src/lab/soak/oracle.hpp
@@ -69,9 +69,11 @@
   /// `isNewConnection`: the request was the first one on its connection.
   void closedUnanswered(const std::string& id, SoakTime now, bool isNewConnection = false);
   void connectionRefused(const std::string& id) { requests_.at(id).complete = true; }
-  // Events observed by servers. `deadline`: the remaining time stated in the request, if any.
+  // Events observed by servers. `deadline`: the remaining time stated in the request's head, if any. It
+  // counts from the arrival of the head: the rest of a large request may take long, for example at a slow
+  // server.
   void requestArrived(const std::string& id, std::size_t server, std::optional<SoakTime> deadline,
-                      SoakTime now);
+                      SoakTime now, std::optional<SoakTime> headArrivedAt = std::nullopt);
   void requestExecuted(const std::string& id, SoakTime now);
   // Endpoint states that discovery wrote to a gateway. They count as announced from then on.
   void announcedNotServing(std::size_t gateway, std::size_t server, SoakTime now);
--- a/src/lab/soak/peers.cpp
+++ b/src/lab/soak/peers.cpp
@@ -56,14 +56,27 @@
   Handle handle;
   boost::beast::flat_buffer buffer;
   std::optional<http::request_parser<http::string_body>> parser;
+  SoakTime headReceivedAt{};
   bool open = true;
 };
 
 SoakListener::Connection::Connection(tcp::socket socket, Handle handle)
-    : state_(new State{std::move(socket), std::move(handle), {}, {}, true}) {}
+    : state_(new State{std::move(socket), std::move(handle), {}, {}, {}, true}) {}
 
 void SoakListener::Connection::read() {
   state_->parser.emplace();
+  http::async_read_header(state_->socket, state_->buffer, *state_->parser,
+                          [self = shared_from_this()](error_code ec, std::size_t) {
+                            if (ec) {
+                              self->state_->open = false;
+                              return;
+                            }
+                            self->state_->headReceivedAt = soakNow();
+                            self->readBody();
+                          });
+}
+
+void SoakListener::Connection::readBody() {
   http::async_read(state_->socket, state_->buffer, *state_->parser,
                    [self = shared_from_this()](error_code ec, std::size_t) {
                      if (ec) {
@@ -76,6 +89,10 @@
                    });
 }
 
+SoakTime SoakListener::Connection::headReceivedAt() const {
+  return state_->headReceivedAt;
+}
+
 void SoakListener::Connection::reply(unsigned status, const std::string& headers, const std::string& body) {
   const auto text =
       std::make_shared<std::string>("HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
@@ -165,7 +182,7 @@
   if (request.count("X-Deadline-Ms"))
     deadline = std::chrono::milliseconds(std::stoll(request["X-Deadline-Ms"].to_string()));
   ++arrivals_;
-  oracle_.requestArrived(id, number_, deadline, soakNow());
+  oracle_.requestArrived(id, number_, deadline, soakNow(), connection->headReceivedAt());
   if (mode_ == Mode::refusing)
     return connection->reply(503, "X-Not-Run: 1\r\n", "");
   oracle_.requestExecuted(id, soakNow());
--- a/src/lab/soak/peers.hpp
+++ b/src/lab/soak/peers.hpp
@@ -58,8 +58,11 @@
   void reply(unsigned status, const std::string& headers, const std::string& body);
   void close(bool reset);
   bool isOpen() const;
+  /// When the head of the last request had come.
+  SoakTime headReceivedAt() const;
 
  private:
+  void readBody();
   struct State;
   std::shared_ptr<State> state_;
 };
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -85,6 +85,18 @@
   expectOnly(SoakRule::toldTooMuch);
 }
 
+TEST_F(SoakOracleTest, JudgesADeadlineAtTheArrivalOfTheHeadThatStatesIt) {
+  sent(read);
+  oracle.requestArrived("q", 0, 990ms, 11000ms, 10005ms);
+  EXPECT_TRUE(oracle.violations().empty());
+}
+
+TEST_F(SoakOracleTest, CatchesADeadlineThatTheHeadOfALargeRequestStatesTooLate) {
+  sent(read);
+  oracle.requestArrived("q", 0, 990ms, 11000ms, 10300ms);
+  expectOnly(SoakRule::toldTooMuch);
+}
+
 TEST_F(SoakOracleTest, CatchesAnAttemptAtADrainingServer) {
   sent(read);
   oracle.announcedNotServing(0, 3, 8700ms);
