--- a/src/lab/soak/slow_crowd.cpp
+++ b/src/lab/soak/slow_crowd.cpp
@@ -64,9 +64,8 @@
   CrowdKind kind;
   tcp::socket socket;
   asio::steady_timer visitTimer, requestTimer;
-  std::string text;
   std::shared_ptr<ScriptedClient> exchange;
-  std::size_t visit = 0;  // Handlers of earlier visits do nothing.
+  std::size_t visit = 0;  // Handlers of earlier visits do nothing; after the end of the crowd, all.
   bool isConnected = false;
 };
 
@@ -129,8 +128,8 @@
 }
 
 void SlowCrowd::sendText(const std::shared_ptr<Member>& member) {
-  member->text = textFor(member->kind);
-  asio::async_write(member->socket, asio::buffer(member->text), [member](error_code, std::size_t) {});
+  const auto text = std::make_shared<std::string>(textFor(member->kind));
+  asio::async_write(member->socket, asio::buffer(*text), [member, text](error_code, std::size_t) {});
 }
 
 void SlowCrowd::readAndDiscard(const std::shared_ptr<Member>& member) {
@@ -154,8 +153,8 @@
   std::uniform_int_distribution<std::chrono::milliseconds::rep> stay(visits->shortestStay.count(),
                                                                      visits->longestStay.count());
   member->visitTimer.expires_after(std::chrono::milliseconds(stay(random_)));
-  member->visitTimer.async_wait([this, member](error_code error) {
-    if (error)
+  member->visitTimer.async_wait([this, member, visit = member->visit](error_code error) {
+    if (error || visit != member->visit)
       return;
     member->leave();
     returnLater(member);
@@ -166,8 +165,8 @@
   if (!visits)
     return;
   member->visitTimer.expires_after(visits->absence);
-  member->visitTimer.async_wait([this, member](error_code error) {
-    if (error)
+  member->visitTimer.async_wait([this, member, visit = member->visit](error_code error) {
+    if (error || visit != member->visit)
       return;
     if (sendsExchange(member->kind))
       startExchange(member);
