Review case 8: with slow discovery the list is never renewed

Cause: calls without a wait are given up after 5 s, and so is every call that was opened beside one.

--- a/review/standins-2/platform.hpp
+++ b/review/standins-2/platform.hpp
@@ -114,33 +114,67 @@
   return text + "]}";
 }
 
-/// Discovery: answers the whole list, and holds a watch for its time, for the list of a case never changes.
+/// Discovery: answers the whole list to a call without a version and the changes to a watch, which waits for
+/// them.
 class Discovery {
  public:
   explicit Discovery(std::vector<Target> targets)
-      : targets_(std::move(targets)), server_([this](Socket& socket) { serve(socket); }) {}
+      : targets_(std::move(targets)),
+        changedIn_(targets_.size(), kFirstVersion),
+        server_([this](Socket& socket) { serve(socket); }) {}
   std::uint16_t port() const { return server_.port(); }
-  const std::vector<Target>& targets() const { return targets_; }
+  /// The list as a gateway last had it.
+  std::string knownList() {
+    const std::lock_guard lock(mutex_);
+    return listText(version_, true, targets_);
+  }
+  void setState(std::size_t target, const std::string& state) {
+    const std::lock_guard lock(mutex_);
+    targets_[target].state = state;
+    changedIn_[target] = ++version_;
+    changed_.notify_all();
+  }
+  /// From now on each answer comes this much later.
+  void setDelay(milliseconds delay) { delayMs_ = delay.count(); }
 
  private:
-  static constexpr std::int64_t kVersion = 41;
+  static constexpr std::int64_t kFirstVersion = 41;
 
-  void serve(const Socket& socket) const {
+  void serve(const Socket& socket) {
     MessageReader reader;
     Message call;
     while (reader.read(socket, call, Clock::now() + std::chrono::minutes(5)) == ReadResult::message) {
-      const std::string target = call.target();
-      const std::size_t since = target.find("since="), wait = target.find("timeout_ms=");
-      const bool isWatch = since != std::string::npos && std::atoll(target.c_str() + since + 6) >= kVersion;
-      if (isWatch && wait != std::string::npos)
-        std::this_thread::sleep_for(milliseconds(std::atoll(target.c_str() + wait + 11)));
-      const std::string list = listText(kVersion, !isWatch, isWatch ? std::vector<Target>() : targets_);
+      const std::string list = answerTo(call.target());
       if (!sendAll(socket, response(200, "OK", list, "Content-Type: application/json\r\n")))
         return;
     }
   }
 
+  std::string answerTo(const std::string& target) {
+    const std::size_t sinceAt = target.find("since="), waitAt = target.find("timeout_ms=");
+    const std::int64_t since = sinceAt == std::string::npos ? 0 : std::atoll(target.c_str() + sinceAt + 6);
+    const std::int64_t wait = waitAt == std::string::npos ? 0 : std::atoll(target.c_str() + waitAt + 11);
+    std::unique_lock lock(mutex_);
+    if (since >= kFirstVersion)
+      changed_.wait_for(lock, milliseconds(wait), [&] { return version_ > since; });
+    lock.unlock();
+    std::this_thread::sleep_for(milliseconds(delayMs_));
+    lock.lock();
+    if (since < kFirstVersion)
+      return listText(version_, true, targets_);
+    std::vector<Target> changes;
+    for (std::size_t i = 0; i < targets_.size(); ++i)
+      if (changedIn_[i] > since)
+        changes.push_back(targets_[i]);
+    return listText(version_, false, changes);
+  }
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::int64_t version_ = kFirstVersion;
   std::vector<Target> targets_;
+  std::vector<std::int64_t> changedIn_;
+  std::atomic<std::int64_t> delayMs_ = 0;
   Server server_;
 };
 
@@ -180,7 +214,7 @@
 /// One gateway, started with the command of the deploy file and ended with this object.
 class Gateway {
  public:
-  Gateway(std::string command, const Discovery& discovery, const std::vector<ClassText>& classes)
+  Gateway(const std::string& command, Discovery& discovery, const std::vector<ClassText>& classes)
       : port_(freePort()) {
     std::string pattern = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
     if (!::mkdtemp(pattern.data()))
@@ -192,8 +226,7 @@
     std::ofstream(folder_ / "config.json")
         << "{\"name\":\"n0\",\"listen\":\"" << address << "\",\"discovery\":\"" << discoveryAddress
         << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":64,\"sockets\":512},"
-        << "\"known\":" << listText(41, true, discovery.targets())
-        << ",\"settings\":" << settingsText(classes) << "}";
+        << "\"known\":" << discovery.knownList() << ",\"settings\":" << settingsText(classes) << "}";
     pid_ = ::fork();
     if (pid_ == 0)
       run(command, address, discoveryAddress);
