--- a/review/standins-2/crowd_of_heads.cpp
+++ b/review/standins-2/crowd_of_heads.cpp
@@ -10,10 +10,11 @@
 constexpr int kServers = 4;
 constexpr int kClients = 6;
 constexpr int kPeerThreads = 100;
-constexpr int kPeers = 5000;
+constexpr int kPeers = 4000;
 constexpr int kFieldsOfAPeer = 3900;
 constexpr auto kCrowdAt = std::chrono::seconds(2);
-constexpr auto kLength = std::chrono::seconds(12);
+constexpr auto kLength = std::chrono::seconds(10);
+constexpr int kDeadlineMs = 500;               // of a try: half of what the class has
 constexpr auto kInterval = milliseconds(200);  // of a client's lookups
 // The half second, and what time limits are longer by on sockets.
 constexpr auto kSlack = milliseconds(550);
@@ -53,13 +54,13 @@
     const auto next = Clock::now() + kInterval;
     const Socket socket = connectTo(gateway);
     const std::string name = newRequestId();
-    if (!socket.isOpen() || !sendAll(socket, requestText(type, name, type.giveUpMs))) {
+    if (!socket.isOpen() || !sendAll(socket, requestText(type, name, kDeadlineMs))) {
       record.line("client cannot connect or send");
       continue;
     }
     ++counts.sent;
     const auto sentAt = Clock::now();
-    const auto latest = sentAt + milliseconds(type.giveUpMs) + kSlack;
+    const auto latest = sentAt + milliseconds(kDeadlineMs) + kSlack;
     MessageReader reader;
     Message answer;
     // Waits on to see whether and when an answer comes.
--- a/review/standins-2/pipelined_arrival.cpp
+++ b/review/standins-2/pipelined_arrival.cpp
@@ -44,20 +44,22 @@
   Clock::time_point lastByteAt;
 };
 
-// Reads one answer; returns whether the connection goes on.
-bool awaitAnswer(const Socket& socket, MessageReader& reader, const Sent& request, const ClassText& type,
-                 Record& record, Counts& counts) {
+enum class EndOfConnection { judged, excused };
+
+// Reads one answer and judges it.
+void awaitAnswer(const Socket& socket, MessageReader& reader, const Sent& request, const ClassText& type,
+                 Record& record, Counts& counts, EndOfConnection end = EndOfConnection::judged) {
   ++counts.sent;
   const auto latest = request.lastByteAt + milliseconds(type.giveUpMs) + kSlack;
   Message answer;
   const ReadResult result = reader.read(socket, answer, latest + std::chrono::seconds(3));
   const std::chrono::duration<double> after = Clock::now() - request.lastByteAt;
-  const bool isAnswered = result == ReadResult::message;
-  const bool isLost = !isAnswered || Clock::now() > latest;
+  const bool hasEnded = result == ReadResult::closed || result == ReadResult::reset;
+  const bool isExcused = hasEnded && end == EndOfConnection::excused;
+  const bool isLost = !isExcused && (result != ReadResult::message || Clock::now() > latest);
   record.line("client gets %s %d for %s %.2f s after its last byte%s", nameOf(result), answer.status(),
               request.name.c_str(), after.count(), isLost ? " LOST" : "");
   ++(isLost ? counts.lost : answer.status() == 200 ? counts.served : counts.refusedOrFailed);
-  return isAnswered && answer.field("connection") != "close";
 }
 
 void runClient(std::uint16_t gateway, const ClassText& type, Record& record, Counts& counts) {
@@ -82,11 +84,11 @@
       sendAll(socket, texts[2].substr(cut));
       requests[2].lastByteAt = Clock::now();
     });
-    bool goesOn = awaitAnswer(socket, reader, requests[0], type, record, counts) &&
-                  awaitAnswer(socket, reader, requests[1], type, record, counts);
+    awaitAnswer(socket, reader, requests[0], type, record, counts);
+    awaitAnswer(socket, reader, requests[1], type, record, counts);
     writer.join();
-    if (goesOn)
-      awaitAnswer(socket, reader, requests[2], type, record, counts);
+    // A close may cross the last bytes of this one, which is then to be sent again and is not judged.
+    awaitAnswer(socket, reader, requests[2], type, record, counts, EndOfConnection::excused);
   }
 }
 
